Watch discovery from the start where the list is pushed

Evidence: the log names circuits only, no failed call to discovery. In 14 looks of ss at one sidecar, one a second, no socket to discovery's port stood, and strace of its connect calls saw none to it in 20 s: the sidecar never asked. The configuration says Discovery "pushed".

Ruled out: a watch that is silent or unreadable (either would have been logged as `discovery: ...`, and there was no connection to be silent on); a list wrongly applied (there was none to apply); sends to a server that leaves while it is dialled (the sends came seconds, not milliseconds, late, as the circuits' trials found the restarted servers).

On sockets they come by a watch, and Engine::new began none. Every test used "on_request". The engine now begins the watch in the pushed case; after a failure the module asks for it anew, as before.

--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -8,8 +8,8 @@
 use crate::upstream::{Ended, Outgoing, Served, Upstream};
 use linenproxy::settings::Names;
 use linenproxy::{
-    Action, AttemptEnd, AttemptNo, Balancer, Event, ListUpdate, Listing, Load, Micros, NewRequest, Outcome,
-    RequestId, Status,
+    Action, AttemptEnd, AttemptNo, Balancer, Discovery, Event, ListUpdate, Listing, Load, Micros, NewRequest,
+    Outcome, RequestId, Status,
 };
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -187,6 +187,7 @@
         let limits = &decoded.settings.limits;
         let most = Limits::of(config.sockets).upstream;
         let upstream = Rc::new(Upstream::new(most, limits.dial_timeout, decoded.idle_close));
+        let pushed = decoded.settings.discovery == Discovery::Pushed;
         let balancer = Balancer::new(decoded.settings, config.seed).map_err(|e| e.to_string())?;
         let (sender, inputs) = mpsc::unbounded_channel();
         let sender = Inputs(sender);
@@ -211,6 +212,10 @@
         };
         spawn_local(upstream.retire_idle());
         let known = config.known.as_ref().map(|list| list.index);
+        // Where changes are pushed the module never asks for them: a watch is how they come unasked here.
+        if pushed {
+            let _ = engine.asks.send(Ask::Watch);
+        }
         spawn_local(discovery::run(config.discovery, known, asked, sender.clone()));
         if let Some(peers) = peers {
             spawn_local(hear(peers, sender.clone()));
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -179,6 +179,24 @@
     }
 }
 
+// Where the settings say that changes are pushed, the module waits for them: the sidecar must fetch them.
+#[test]
+fn a_list_that_is_pushed_is_followed_and_taken_up_again_after_a_failure() {
+    let discovery = Discovery::start();
+    let (old, new) = (Endpoint::start(|_| ok("old")), Endpoint::start(|_| ok("new")));
+    let pushed = |config: String| config.replace("on_request", "pushed");
+    let sidecar = Sidecar::start_altered(&discovery, &[("s-old", &old)], 1024, pushed);
+    discovery.await_watch(1);
+    discovery.failing.store(true, Ordering::SeqCst);
+    await_that("the watch is taken up again", || discovery.calls().len() >= 3);
+    discovery.failing.store(false, Ordering::SeqCst);
+    discovery
+        .publish(2, list(2, false, &[("s-old", old.address, "leaving"), ("s-new", new.address, "active")]));
+    discovery.await_watch(2);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
+    assert_eq!(old.requests(), 0);
+}
+
 // A send counts from its first byte: one whose connection comes up only after the endpoint was told to leave
 // must not be written any more.
 #[test]
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -290,11 +290,22 @@
         endpoints: &[(&str, &Endpoint)],
         granted: u32,
         told: u32,
+    ) -> Self {
+        let told = format!("\"sockets\":{told}");
+        Self::start_altered(discovery, endpoints, granted, |config| config.replace("\"sockets\":1024", &told))
+    }
+
+    /// The same with a configuration that is altered first.
+    pub fn start_altered(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        granted: u32,
+        alter: impl Fn(String) -> String,
     ) -> Self {
         let known: Vec<_> = endpoints.iter().map(|(name, e)| (*name, e.address, "active")).collect();
         let address = unused_address();
         let config = config(address, discovery.address, &list(1, true, &known));
-        let config = config_file(&config.replace("\"sockets\":1024", &format!("\"sockets\":{told}")));
+        let config = config_file(&alter(config));
         let process = Command::new("/bin/sh")
             .args(["-c", &format!("ulimit -n {granted}; exec \"$0\""), env!("CARGO_BIN_EXE_tinflow")])
             .env("LB_CONFIG", &config)
