Take only a failed connect, not a reset, as the sign of a restart

Symptom: of 12805 requests 70 to 93 % are refused from second 5 on, with no server dead and the list unchanged; resets run at about one in eight attempts, in every window, and tries per request near 3.

Sends per second to each endpoint fall from 30 to 50 to 2 or 3 within two seconds of its first resets, endpoint by endpoint, and come back in a single burst only. That is not the open circuit, which lasts half a second: it is the trickle for a cold server. `learn` marked an endpoint as dead after any reset since its last success, and `close` then counted it as started at that moment, for the whole warm-up time. The part for cold ones is drawn from what the fleet serves, so each endpoint chilled shrank the part of all others.

Ruled out: connections written to after the endpoint had closed them (the socket is asked just before each write, and said EAGAIN), idle time (resets came milliseconds after the last answer, the limit is 15 s), discovery.

A process that is gone lets no connection be made, so only a failed connect says so now, and an opening circuit closes what is idle so that trials dial.

Not the whole: half of the requests between 5 and 15 s are still refused.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -440,7 +440,8 @@
             Outcome::Cancelled | Outcome::NotSent => return,
             _ => {}
         }
-        e.died |= matches!(how, Outcome::ConnectFailed | Outcome::Reset);
+        // A broken connection may be that connection's own trouble; a process that is gone lets none be made.
+        e.died |= how == Outcome::ConnectFailed;
         e.heard = now;
         e.errors += ERROR_WEIGHT.max(fresh) * (f64::from(u8::from(bad)) - e.errors);
         let trial = e.circuit != Circuit::Closed;
@@ -463,6 +464,8 @@
         let times = f64::from(1u32 << e.openings.min(MOST_DOUBLINGS));
         e.circuit = Circuit::Open(later(now, first * times * (0.75 + 0.5 * self.rng.f64())));
         e.openings += 1;
+        // Trials then show whether a connection can be made at all.
+        out.push(Action::CloseIdle(i));
         if !reopened {
             self.log.say(now, format!("circuit of endpoint {i} open"), out);
         }
@@ -472,7 +475,7 @@
         let e = &mut self.endpoints[i];
         e.circuit = Circuit::Closed;
         (e.errors, e.openings) = (0.0, e.openings.saturating_sub(2));
-        // It lost its connections, so it has likely restarted, whatever the list says so far: it is cold.
+        // It could not be reached, so it has likely restarted, whatever the list says so far: it is cold.
         if std::mem::take(&mut e.died) {
             self.chill(now, i, now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,7 +43,7 @@
     pub flights: Vec<Flight>,
     pub circuit: Circuit,
     pub openings: u32,
-    /// Connections were lost, so the process may have restarted.
+    /// No connection could be made, so the process may have restarted.
     pub died: bool,
     pub errors: f64,
     /// Time for a unit of expected work, when it was last heard of, learnt cap in flight.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -125,6 +125,34 @@
     assert_eq!(warm, asked);
 }
 
+// Connections that break under way leave their endpoint as warm as it was, also once they opened its circuit.
+#[test]
+fn what_only_broke_connections_gets_its_full_part_once_its_circuit_closes() {
+    let mut rig = Rig::new(settings(), 3, 1);
+    let part = |rig: &mut Rig| used(rig, 60).iter().filter(|e| **e == 2).count();
+    let before = part(&mut rig);
+    let mut seen = Vec::new();
+    for _ in 0..12 {
+        let (id, actions) = rig.request(UNSAFE);
+        let breaks = sent(&actions)[0] == 2;
+        seen.extend(rig.end(id, 0, if breaks { Outcome::Reset } else { Outcome::Ok }));
+    }
+    let logged =
+        |seen: &[Action], what: &str| seen.contains(&Action::Log(format!("circuit of endpoint 2 {what}")));
+    assert!(logged(&seen, "open"));
+    // Trials dial: only so they show whether the process is there.
+    assert!(seen.contains(&Action::CloseIdle(2)));
+    for _ in 0..40 {
+        let (id, actions) = rig.request(SAFE);
+        seen.extend(actions);
+        seen.extend(rig.wait(100 * MS));
+        seen.extend(rig.end(id, 0, Outcome::Ok));
+    }
+    assert!(logged(&seen, "closed"));
+    let after = part(&mut rig);
+    assert!(after * 4 >= before * 3, "{after} of 60 turns, {before} before");
+}
+
 #[test]
 fn what_comes_back_after_lost_connections_is_cold_before_the_list_says_so() {
     let mut rig = Rig::new(settings(), 4, 1);
