Log how many requests were given up, by reason

Half of event9859's requests were refused with nothing in the log to say why: circuits open and close at most once a second there, and a refusal has three ways to come about. A line at most every 5 s now tells requests shed, those that waited in vain, and those whose tries failed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -134,7 +134,7 @@
         };
         self.timers.at(request.due, Wake::Due(new.id));
         self.requests.insert(new.id, request);
-        if shed { self.finish(now, new.id, out) } else { self.place(now, new.id, out) }
+        if shed { self.finish(now, new.id, GaveUp::Shed, out) } else { self.place(now, new.id, out) }
     }
 
     /// Load shedding: when much of what was asked of late got no answer in time, more only makes others late.
@@ -307,14 +307,15 @@
         let barred = class.effect == Effect::Unsafe && request.attempts.iter().any(|a| a.may_have_run);
         // In an outage all would come back several times and nothing recover: retries are rationed.
         if spent || barred || self.fleet.retries < 1.0 || at >= useful.min(request.due) {
-            return self.finish(now, id, out);
+            return self.finish(now, id, GaveUp::Failing, out);
         }
         request.state = State::Backoff;
         self.timers.at(at, Wake::Retry(id));
     }
 
     /// The only final answers: a refusal where repeating is provably harmless, else a failure.
-    fn finish(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+    fn finish(&mut self, now: Micros, id: RequestId, why: GaveUp, out: &mut Vec<Action>) {
+        self.log.gave_up(now, why, out);
         let Some(request) = self.requests.get(&id) else { return };
         let effect = self.set.classes[request.class].effect;
         let clean = request.attempts.iter().all(|a| !a.live && !a.may_have_run);
@@ -568,7 +569,7 @@
         while let Some(wake) = self.timers.due(now, token) {
             match wake {
                 Wake::Due(id) | Wake::Expired(id) if self.requests.get(&id).is_some_and(|r| r.over(now)) => {
-                    self.finish(now, id, out)
+                    self.finish(now, id, GaveUp::Waiting, out)
                 }
                 Wake::Retry(id) if self.requests.get(&id).is_some_and(|r| r.state == State::Backoff) => {
                     self.place(now, id, out)
--- a/src/state.rs
+++ b/src/state.rs
@@ -225,18 +225,46 @@
     }
 }
 
+/// Why a request was given up.
+#[derive(Clone, Copy)]
+pub enum GaveUp {
+    /// Load shedding did not let it in.
+    Shed,
+    /// Its time, or that for a bulwark, ran out.
+    Waiting,
+    /// No further try was allowed after a failed one.
+    Failing,
+}
+
+/// Least time from one account of the requests given up to the next.
+const ACCOUNT_SPACING: Micros = 5_000_000;
+
 /// The log, at most one line a second, so that trouble does not drown its own first sign.
 #[derive(Default)]
-pub struct Log(Option<Micros>);
+pub struct Log {
+    last: Option<Micros>,
+    accounted: Option<Micros>,
+    given_up: [u64; 3],
+}
 
 impl Log {
     /// Writes a line, if it is time for one.
     pub fn say(&mut self, now: Micros, text: String, out: &mut Vec<Action>) {
-        if self.0.is_none_or(|last| now - last >= 1_000_000) {
-            self.0 = Some(now);
+        if self.last.is_none_or(|last| now - last >= 1_000_000) {
+            self.last = Some(now);
             out.push(Action::Log(text));
         }
     }
+
+    /// Counts a request given up; says now and then how many there were.
+    pub fn gave_up(&mut self, now: Micros, why: GaveUp, out: &mut Vec<Action>) {
+        self.given_up[why as usize] += 1;
+        if self.accounted.is_none_or(|last| now - last >= ACCOUNT_SPACING) {
+            self.accounted = Some(now);
+            let [shed, waiting, failing] = std::mem::take(&mut self.given_up);
+            out.push(Action::Log(format!("gave up {shed} shed, {waiting} waiting, {failing} failing")));
+        }
+    }
 }
 
 impl Request {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -640,7 +640,8 @@
         rig.wait(pause);
         let (id, _) = rig.request(UNSAFE);
         let actions = rig.end(id, 0, Outcome::Error);
-        assert_eq!(actions.iter().any(|a| matches!(a, Action::Log(_))), opens, "after {pause}");
+        let opened = Action::Log("circuit of endpoint 0 open".to_owned());
+        assert_eq!(actions.contains(&opened), opens, "after {pause}");
     }
 }
 
@@ -678,9 +679,10 @@
     }
     for action in seen {
         if let Action::Log(text) = action {
-            logs.push(text.replace('0', "N"));
+            logs.push(text.replace(['0', '1', '2'], "N"));
         }
     }
-    assert_eq!(logs, ["circuit of endpoint N open", "circuit of endpoint N closed"]);
+    let account = "gave up N shed, N waiting, N failing";
+    assert_eq!(logs, [account, "circuit of endpoint N open", account, "circuit of endpoint N closed"]);
     assert!(logs.iter().all(|l| page.contains(&format!("`{l}`"))), "{logs:?}");
 }
