Take two failed connects in a row, not one, as the sign of a restart

With resets no longer chilling a server, refusals went on as "waiting". A debug line showed most endpoints at 31 to 75 % of warmth although no process had started; strace shows about 2 % of dials accepted and reset within 0.3 ms, so one such connection among resets that had opened a circuit was still read as a death. A process that is gone refuses every connection: two in a row, with nothing else between them, now make a returning server cold. The test covers the mixture.

Left: 5 to 15 s, where answers stall.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,6 +25,9 @@
 const ERROR_THRESHOLD: f64 = 0.5;
 const ERROR_WEIGHT: f64 = 0.3;
 const MOST_DOUBLINGS: u32 = 3;
+/// Failed connects without anything else between them that show a process to be gone: a connection may break
+/// by itself, also while it is made.
+const DEAD_AFTER: u32 = 2;
 const TRIALS: f64 = 0.05;
 /// Longest deadlines within which own traffic must bring a turn to an endpoint; endpoints used at the least.
 const ROUND: f64 = 2.0;
@@ -441,17 +444,18 @@
             Outcome::Cancelled | Outcome::NotSent => return,
             _ => {}
         }
-        // A broken connection may be that connection's own trouble; a process that is gone lets none be made.
-        e.died |= how == Outcome::ConnectFailed;
         e.heard = now;
         e.errors += ERROR_WEIGHT.max(fresh) * (f64::from(u8::from(bad)) - e.errors);
         let trial = e.circuit != Circuit::Closed;
+        if bad {
+            e.unreached = if how == Outcome::ConnectFailed { e.unreached.saturating_add(1) } else { 0 };
+        }
         if bad && (trial || e.errors > ERROR_THRESHOLD) {
             self.open(now, i, out);
         } else if trial && !bad {
             self.close(now, i, out);
-        } else {
-            e.died &= bad;
+        } else if !bad {
+            e.unreached = 0;
         }
     }
 
@@ -476,8 +480,8 @@
         let e = &mut self.endpoints[i];
         e.circuit = Circuit::Closed;
         (e.errors, e.openings) = (0.0, e.openings.saturating_sub(2));
-        // It could not be reached, so it has likely restarted, whatever the list says so far: it is cold.
-        if std::mem::take(&mut e.died) {
+        // It let no connection be made, so it has likely restarted, whatever the list says so far: it is cold.
+        if std::mem::take(&mut e.unreached) >= DEAD_AFTER {
             self.chill(now, i, now);
         }
         self.log.say(now, format!("circuit of endpoint {i} closed"), out);
@@ -556,7 +560,7 @@
             e.size = if l.size > 0.0 { l.size.clamp(1e-3, 1e6) } else { 1.0 };
             if l.started > e.started {
                 // A new process: what was known of the old one is void, but it is tried before it is trusted.
-                (e.errors, e.slow, e.died) = (0.0, self.fleet.slow, false);
+                (e.errors, e.slow, e.unreached) = (0.0, self.fleet.slow, 0);
                 if e.circuit != Circuit::Closed {
                     e.circuit = Circuit::Open(now);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,8 +43,8 @@
     pub flights: Vec<Flight>,
     pub circuit: Circuit,
     pub openings: u32,
-    /// No connection could be made, so the process may have restarted.
-    pub died: bool,
+    /// Connections that failed to be made since anything else came of one.
+    pub unreached: u32,
     pub errors: f64,
     /// Time for a unit of expected work, when it was last heard of, learnt cap in flight.
     pub slow: f64,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -125,9 +125,16 @@
     assert_eq!(warm, asked);
 }
 
-// Connections that break under way leave their endpoint as warm as it was, also once they opened its circuit.
+// Connections that break leave their endpoint as warm as it was, also once they opened its circuit.
 #[test]
 fn what_only_broke_connections_gets_its_full_part_once_its_circuit_closes() {
+    for outcomes in [[Outcome::Reset, Outcome::Reset], [Outcome::Reset, Outcome::ConnectFailed]] {
+        breaks_connections_and_stays_warm(outcomes);
+    }
+}
+
+fn breaks_connections_and_stays_warm(outcomes: [Outcome; 2]) {
+    let mut outcomes = outcomes.into_iter().cycle();
     let mut rig = Rig::new(settings(), 3, 1);
     let part = |rig: &mut Rig| used(rig, 60).iter().filter(|e| **e == 2).count();
     let before = part(&mut rig);
@@ -135,7 +142,11 @@
     for _ in 0..12 {
         let (id, actions) = rig.request(UNSAFE);
         let breaks = sent(&actions)[0] == 2;
-        seen.extend(rig.end(id, 0, if breaks { Outcome::Reset } else { Outcome::Ok }));
+        seen.extend(rig.end(
+            id,
+            0,
+            if breaks { outcomes.next().unwrap_or(Outcome::Reset) } else { Outcome::Ok },
+        ));
     }
     let logged =
         |seen: &[Action], what: &str| seen.contains(&Action::Log(format!("circuit of endpoint 2 {what}")));
