Learn the pace from answers only, not from time-outs

`learn` took such a time-out as a measure of pace, up to 20 times the fleet's, so one stalled answer made the server look several times slower for the next ten answers, and each of those took a fifth off its cap and turns. A time-out remains an error for the breaker, which is what it shows; the pace is learnt from answers. The sum of the caps no longer shrinks to the number of attempts that hang.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -415,7 +415,7 @@
         let sample = (took / was.work.max(1.0)).min(20.0 * fleet.slow);
         let bad = how != Outcome::Ok;
         let fresh = 1.0 - (-(now.saturating_sub(e.heard).max(0) as f64) / STALE).exp();
-        if matches!(how, Outcome::Ok | Outcome::TimedOut) && !was.streaming {
+        if how == Outcome::Ok && !was.streaming {
             e.slow = slow + NEWEST * (sample - slow);
             let kind = fleet.kinds.entry(e.kind).or_insert((fleet.slow, now));
             let gain = 1.0 - (-(now.saturating_sub(kind.1).max(0) as f64) / STALE).exp();
@@ -480,7 +480,7 @@
         let e = &mut self.endpoints[i];
         e.circuit = Circuit::Closed;
         (e.errors, e.openings) = (0.0, e.openings.saturating_sub(2));
-        // It let no connection be made, so it has likely restarted, whatever the list says so far: it is cold.
+        // It let no connection be made, so it has likely restarted, whatever the list says: it is cold.
         if std::mem::take(&mut e.unreached) >= DEAD_AFTER {
             self.chill(now, i, now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -310,7 +310,7 @@
         self.total * (-(now.saturating_sub(self.at).max(0) as f64) / window.max(1) as f64).exp()
     }
 
-    /// What was added a microsecond, of late; a sum that has just begun counts as an eighth of the window old.
+    /// What was added a microsecond, of late; one that has just begun counts as an eighth of the window old.
     pub fn rate(&self, now: Micros, window: Micros) -> f64 {
         let age = now.saturating_sub(self.since.unwrap_or(now)).max(0) as f64 / window.max(1) as f64;
         self.now(now, window) / (window.max(1) as f64 * (1.0 - (-age).exp()).max(0.125))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -179,6 +179,26 @@
     assert!((1..=8).contains(&back), "{back}");
 }
 
+// A stalled answer is one error in the breaker's eyes. It says nothing of the pace of the answers that come.
+#[test]
+fn one_answer_that_never_comes_costs_an_endpoint_no_turns() {
+    let mut rig = Rig::new(settings(), 3, 1);
+    let part = |rig: &mut Rig| used(rig, 60).iter().filter(|e| **e == 2).count();
+    let before = part(&mut rig);
+    loop {
+        let (id, actions) = rig.request_for(UNSAFE, 400 * MS, None, None);
+        if sent(&actions)[0] == 2 {
+            rig.wait(400 * MS);
+            assert!(rig.out.is_empty(), "it has timed out");
+            break;
+        }
+        rig.wait(20 * MS);
+        rig.end(id, 0, Outcome::Ok);
+    }
+    let after = part(&mut rig);
+    assert!(after * 4 >= before * 3, "{after} of 60 turns, {before} before");
+}
+
 #[test]
 fn others_slow_requests_do_not_make_an_endpoint_silent() {
     let mut rig = Rig::new(settings(), 4, 1);
