Read the configuration again at SIGHUP and follow discovery to its new address

The program awaited SIGTERM and SIGINT only, so SIGHUP ended it by the system's default (seen in the new test, which finds the process gone without this change).

main awaits SIGHUP before it listens; Config::reload reads the whole file, and a file that can't be used is logged and changes nothing. Discovery's address in the file holds over LB_DISCOVERY then, as a variable cannot change. The running watch moves at once and begins with the whole list, since versions need not go on at another address. Changes to anything else in the file are named in the log as waiting for a restart.

--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+type Address = Option<SocketAddr>;
+
 /// Everything that a sidecar is told.
 pub struct Config {
     /// Where the application connects.
@@ -27,6 +29,8 @@
     pub known: Option<HostList>,
     /// The settings object.
     pub decoded: Decoded,
+    /// What only a start takes in: the file less discovery's address, the known list and the seed.
+    pub fixed: serde_json::Value,
 }
 
 #[derive(Deserialize)]
@@ -63,6 +67,16 @@
 impl Config {
     /// Reads the configuration; the text of a failure is one plain line.
     pub fn from_env() -> Result<Self, String> {
+        Self::load(|given, file| given.or(file))
+    }
+
+    /// Reads it once more. Discovery is where the file says now: a variable still says where it was at the start.
+    pub fn reload() -> Result<Self, String> {
+        Self::load(|given, file| file.or(given))
+    }
+
+    /// `which` picks discovery's address from that of the variable and that of the file.
+    fn load(which: fn(Address, Address) -> Address) -> Result<Self, String> {
         let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path)
             .map_err(|e| format!("cannot read LB_CONFIG {}: {e}", path.display()))?;
@@ -72,13 +86,22 @@
             }
             Err(_) => Ok(None),
         };
-        Self::read(&text, address("LB_LISTEN")?, address("LB_DISCOVERY")?)
+        let (listen, discovery) = (address("LB_LISTEN")?, address("LB_DISCOVERY")?);
+        Self::read(&text, listen, |file| which(discovery, file))
             .map_err(|e| format!("LB_CONFIG {}: {e}", path.display()))
     }
 
-    /// Reads the text of the file; an address given beside it holds.
-    fn read(text: &str, listen: Option<SocketAddr>, discovery: Option<SocketAddr>) -> Result<Self, String> {
+    /// Reads the text of the file; an address to listen on that is given beside it holds.
+    fn read(
+        text: &str,
+        listen: Option<SocketAddr>,
+        discovery: impl Fn(Address) -> Address,
+    ) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let mut fixed: serde_json::Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        if let Some(fields) = fixed.as_object_mut() {
+            fields.retain(|name, _| !matches!(name.as_str(), "discovery" | "known" | "seed"));
+        }
         let decoded = settings::decode(file.settings.get()).map_err(|e| format!("settings: {e}"))?;
         decoded.settings.check().map_err(|e| e.to_string())?;
         if file.limits.sockets < FEWEST_SOCKETS {
@@ -86,7 +109,7 @@
         }
         Ok(Self {
             listen: listen.or(file.listen).ok_or("no address to listen on")?,
-            discovery: discovery.or(file.discovery).ok_or("no address of discovery")?,
+            discovery: discovery(file.discovery).ok_or("no address of discovery")?,
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
             peer_listen: file.peer_listen,
@@ -94,6 +117,7 @@
             peers_all: file.peers_all,
             known: file.known,
             decoded,
+            fixed,
         })
     }
 
--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -89,21 +89,40 @@
     Fetch,
 }
 
-/// Carries out what is asked, one watch at most at a time.
-pub async fn run(at: SocketAddr, known: Option<u64>, mut asks: mpsc::UnboundedReceiver<Ask>, inputs: Inputs) {
+/// Carries out what is asked, one watch at most at a time. Where discovery moves, the watch moves along at once.
+pub async fn run(
+    mut at: watch::Receiver<SocketAddr>,
+    known: Option<u64>,
+    mut asks: mpsc::UnboundedReceiver<Ask>,
+    inputs: Inputs,
+) {
     let index = Rc::new(Cell::new(known));
-    let mut watch: Option<AbortHandle> = None;
-    while let Some(ask) = asks.recv().await {
+    let mut watching: Option<AbortHandle> = None;
+    loop {
+        let ask = tokio::select! {
+            ask = asks.recv() => match ask {
+                Some(ask) => ask,
+                None => return,
+            },
+            Ok(()) = at.changed() => {
+                let Some(old) = watching.take() else { continue };
+                old.abort();
+                // Whether versions go on there is not known: the whole list comes first.
+                index.set(None);
+                Ask::Watch
+            }
+        };
+        let at = *at.borrow();
         match ask {
             // One that runs goes on: a second would only put more load on discovery.
-            Ask::Watch if watch.as_ref().is_some_and(|w| !w.is_finished()) => {}
+            Ask::Watch if watching.as_ref().is_some_and(|w| !w.is_finished()) => {}
             Ask::Watch => {
                 let task = keep_watching(at, Rc::clone(&index), inputs.clone());
-                watch = Some(spawn_local(task).abort_handle());
+                watching = Some(spawn_local(task).abort_handle());
             }
             Ask::StopWatch => {
-                if let Some(watch) = watch.take() {
-                    watch.abort();
+                if let Some(watching) = watching.take() {
+                    watching.abort();
                 }
             }
             Ask::Fetch => {
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -14,10 +14,11 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until};
 
@@ -182,7 +183,11 @@
 
 impl Engine {
     /// Starts the module with the list as last known, and the tasks that serve it.
-    pub fn new(config: Config, peers: Option<Peers>) -> Result<(Self, Handle), String> {
+    pub fn new(
+        config: Config,
+        peers: Option<Peers>,
+        discovery_at: watch::Receiver<SocketAddr>,
+    ) -> Result<(Self, Handle), String> {
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
         let most = Limits::of(config.sockets).upstream;
@@ -216,7 +221,7 @@
         if pushed {
             let _ = engine.asks.send(Ask::Watch);
         }
-        spawn_local(discovery::run(config.discovery, known, asked, sender.clone()));
+        spawn_local(discovery::run(discovery_at, known, asked, sender.clone()));
         if let Some(peers) = peers {
             spawn_local(hear(peers, sender.clone()));
         }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -10,6 +10,7 @@
 
 use config::Config;
 use engine::Engine;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,6 +63,8 @@
 async fn serve(config: Config) -> Result<(), String> {
     let listener =
         inbound::bind(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    // Awaited before anything else: unawaited, this one ends the process.
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
     let peers = match config.peer_listen {
@@ -74,16 +77,21 @@
     let longest = config.longest_deadline().min(LONGEST_GRACE);
     let limits = inbound::Limits::of(config.sockets);
     let lanes = Rc::new(inbound::Lanes::of(&config));
-    let (engine, handle) = Engine::new(config, peers)?;
+    let (discovery, discovery_at) = watch::channel(config.discovery);
+    let fixed = config.fixed.clone();
+    let (engine, handle) = Engine::new(config, peers, discovery_at)?;
     let (stop, stopped) = watch::channel(Stop::No);
     let mut running = spawn_local(engine.run());
     let accepting = spawn_local(inbound::accept(listener, limits, lanes, handle, stopped));
 
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-        // Without its decisions a sidecar only fails requests: better to end, and be started anew.
-        _ = &mut running => return Err("the engine has failed".to_owned()),
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => reload(&discovery, &fixed),
+            // Without its decisions a sidecar only fails requests: better to end, and be started anew.
+            _ = &mut running => return Err("the engine has failed".to_owned()),
+        }
     }
     let told = tokio::time::Instant::now();
     eprintln!("tinflow: told to stop");
@@ -105,3 +113,15 @@
     let _ = tokio::time::timeout(LAST_WRITES, all_closed).await;
     Ok(())
 }
+
+/// Takes in what may change while the sidecar runs: where discovery is. A file that can't be used changes nothing.
+fn reload(discovery: &watch::Sender<SocketAddr>, fixed: &serde_json::Value) {
+    match Config::reload() {
+        Ok(config) => {
+            let rest = if config.fixed == *fixed { "" } else { ", other changes wait for a restart" };
+            eprintln!("tinflow: configuration reloaded: discovery at {}{rest}", config.discovery);
+            discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+        }
+        Err(what) => eprintln!("tinflow: reload failed, the old configuration stays: {what}"),
+    }
+}
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -259,6 +259,31 @@
     assert!(!served());
 }
 
+// The variables of the process still name the old address when the file names another.
+#[test]
+fn told_to_reload_it_follows_discovery_to_where_the_file_says() {
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let (old, new) = (Endpoint::start(|_| ok("old")), Endpoint::start(|_| ok("new")));
+    let mut sidecar = Sidecar::start(&before, &[("s-old", &old)]);
+    before.await_watch(1);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"old");
+    // Its versions are its own.
+    after.publish(1, list(1, true, &[("s-new", new.address, "active")]));
+    let [from, to] = [&before, &after].map(|d| format!("\"discovery\":\"{}\"", d.address));
+    sidecar.reconfigure(|config| config.replace(&from, &to));
+    after.await_watch(1);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
+    // A file that can't be used leaves everything as it is.
+    let calls = after.calls().len();
+    sidecar.reconfigure(|config| config.replace("\"side_effect\"", "\"odd\"").replace(&to, &from));
+    sidecar.reconfigure(|_| "{".to_owned());
+    after.publish(2, list(2, false, &[("s-old", old.address, "active"), ("s-new", new.address, "left")]));
+    after.await_watch(2);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"old");
+    assert!(after.calls().len() > calls);
+    assert!(sidecar.process.try_wait().expect("its state").is_none(), "it has ended");
+}
+
 #[test]
 fn an_answer_that_is_too_long_or_breaks_off_is_a_failure() {
     let discovery = Discovery::start();
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -309,8 +309,8 @@
         let process = Command::new("/bin/sh")
             .args(["-c", &format!("ulimit -n {granted}; exec \"$0\""), env!("CARGO_BIN_EXE_tinflow")])
             .env("LB_CONFIG", &config)
-            .env_remove("LB_LISTEN")
-            .env_remove("LB_DISCOVERY")
+            .env("LB_LISTEN", address.to_string())
+            .env("LB_DISCOVERY", discovery.address.to_string())
             .stdin(Stdio::null())
             .spawn()
             .expect("the sidecar starts");
@@ -336,8 +336,19 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another text in the place of its configuration file and tells it so.
+    pub fn reconfigure(&self, alter: impl Fn(String) -> String) {
+        let text = std::fs::read_to_string(&self.config).expect("the file is there");
+        std::fs::rename(config_file(&alter(text)), &self.config).expect("the file can be replaced");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.process.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 }
 
