Close connections that say nothing or stop half way within 3 s

The inherited inbound side kept a connection without a whole head for 60 s, and one with half a body until the time its own header named, up to an hour: descriptors that a crowd of such peers holds against clients. The new test finds the connections open after 30 s without the change.

Two requests that the protocol does not know are turned away as well: an unsafe class with an idempotency key, and two correlation ids.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -30,9 +30,14 @@
 const BACKLOG: u32 = 1024;
 /// Longest head of a request.
 const LONGEST_HEAD: usize = 32 << 10;
-/// A connection that stays without a whole head this long is closed, and sooner once told to stop.
-const IDLE: Duration = Duration::from_secs(60);
+/// A connection that stays without a whole head this long is closed, and sooner once told to stop. Anyone may
+/// connect and say little or nothing, and is owed an error or a close within 3 s; clients keep theirs for 2 s.
+const IDLE: Duration = Duration::from_millis(2300);
 const IDLE_AT_STOP: Duration = Duration::from_millis(500);
+/// A body that has not wholly come this long after its head never will: the application is on this machine.
+const BODY_TIME: Duration = Duration::from_millis(500);
+/// Least time from one line on failed accepts to the next.
+const COMPLAINT_SPACING: Duration = Duration::from_secs(60);
 /// Pause after a failed accept: with no descriptor to be had, the next one would fail as well.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which the runtime sees what the system holds already.
@@ -129,7 +134,7 @@
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(e) => {
-                if last_failure.is_none_or(|at: Instant| at.elapsed() > IDLE) {
+                if last_failure.is_none_or(|at: Instant| at.elapsed() > COMPLAINT_SPACING) {
                     last_failure = Some(Instant::now());
                     eprintln!("tinflow: cannot accept: {e}");
                 }
@@ -230,13 +235,14 @@
     let arrived = handle.now();
     let (head, body) = request.into_parts();
     let Some(facts) = Facts::read(lanes, &head.method, &head.headers) else {
-        return Ok(plain(StatusCode::BAD_REQUEST));
+        return Ok(closing(StatusCode::BAD_REQUEST));
     };
     let due = arrived.saturating_add(facts.time_left);
+    let whole_by = handle.instant(due).min(Instant::now() + BODY_TIME);
     if body.size_hint().lower() > LONGEST_BODY as u64 {
         return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let body = match timeout_at(handle.instant(due), Limited::new(body, LONGEST_BODY).collect()).await {
+    let body = match timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE)),
         Ok(Err(e)) => match e.downcast::<hyper::Error>() {
@@ -311,9 +317,11 @@
         let fits = match lanes.classes[class].1 {
             Effect::Safe => method == Method::GET,
             Effect::Keyed { .. } => method == Method::POST && keyed,
-            Effect::Unsafe => method == Method::POST,
+            Effect::Unsafe => method == Method::POST && !keyed,
         };
-        headers.get(CORRELATION_ID).filter(|id| fits && !id.is_empty())?;
+        // Of two ids an endpoint could take either for one that no client sent.
+        let once = headers.get_all(CORRELATION_ID).iter().count() == 1;
+        headers.get(CORRELATION_ID).filter(|id| fits && once && !id.is_empty())?;
         let tenant = text(&ACCOUNT).and_then(|account| lanes.tenants.iter().position(|t| t == account));
         let work = text(&WEIGHT_HINT).and_then(|hint| hint.parse().ok()).filter(|us: &Micros| *us > 0);
         Some(Self {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -47,6 +47,8 @@
         (good.replace("X-Time-Left: 19000m\r\n", ""), 400),
         (good.replace("X-Correlation-Id: 9b1f03aa\r\n", ""), 400),
         (request("pay", "", "").replace("Idempotency-Key: 5c0f6e1a\r\n", ""), 400),
+        (request("book", "Idempotency-Key: 5c0f6e1a\r\n", ""), 400),
+        (request("book", "X-Correlation-Id: 9b1f03ab\r\n", ""), 400),
         (good.replace("Content-Length: 0", "Content-Length: 70000"), 413),
         (good.replace("/api?site=4", "/other"), 404),
     ] {
@@ -340,6 +342,23 @@
     drop(crowd);
 }
 
+// Anyone may connect. Half a minute is what these stubs wait at the most; the requests would wait for longer.
+#[test]
+fn peers_that_say_nothing_or_stop_half_way_are_closed_or_told_of_an_error() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let patient = request("book", "", "{}").replace("19000m", "600000m");
+    let [mut silent, mut half, mut bodiless] = [(); 3].map(|()| sidecar.connect());
+    half.write_all(&patient.as_bytes()[..40]).expect("the sidecar takes it");
+    bodiless.write_all(&patient.as_bytes()[..patient.len() - 1]).expect("the sidecar takes it");
+    assert_eq!(read_message(&mut bodiless).expect("an answer").status(), 408);
+    for peer in [&mut silent, &mut half, &mut bodiless] {
+        assert!(await_close(peer), "a connection stayed open");
+    }
+    assert_eq!(endpoint.requests(), 0);
+}
+
 #[test]
 fn it_survives_a_want_of_descriptors() {
     let discovery = Discovery::start();
