Ask for a broken push of the list anew within 0.8 s, and bound its calls to 1 s

On sockets what discovery's agent holds counts as told although a watch broke, and a drain must be kept 300 ms after that. After a failed call the module waited 0.3 to 5 s, made for a discovery of fixed capacity that all instances share; with AskWithinUs absent it did not wait at all. Pushed lists now wait 50 to 800 ms, growing and jittered; asked ones wait as before. A call to which nothing comes back ended 3 s after its wait, where the list counts as told 2 s after it, and a dial could take all of that time: both are bounded to 1 s now.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -16,9 +16,9 @@
 
 /// How long a watch lets discovery wait for news.
 const WATCH: Duration = Duration::from_secs(20);
-/// How much longer than that, or than a plain call, an answer may take. Discovery itself gives up calls that
-/// wait too long; this bounds one to which nothing comes back at all.
-const PATIENCE: Duration = Duration::from_secs(3);
+/// How long a connection, and how much longer than a watch or a plain call an answer, may take: this bounds one to
+/// which nothing comes back at all. What is to be told counts as told 2 s after a watch has ended.
+const PATIENCE: Duration = Duration::from_secs(1);
 /// Least time from one watch call to the next. A watch is only kept when the next call goes within 200 ms of
 /// the last answer; less than that keeps a discovery that answers at once from being called in a tight loop.
 const SPACING: Duration = Duration::from_millis(50);
@@ -183,7 +183,10 @@
         .map_err(|e| e.to_string())?;
     let mut connection = match link.take().filter(Connection::usable) {
         Some(connection) => connection,
-        None => Connection::open(at).await.map_err(|e| e.to_string())?,
+        None => match timeout(PATIENCE, Connection::open(at)).await {
+            Ok(opened) => opened.map_err(|e| e.to_string())?,
+            Err(_) => return Err("no connection".to_owned()),
+        },
     };
     let response = connection.request(request, Meter::default()).await.map_err(|e| e.to_string())?;
     let (head, body) = response.into_parts();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -58,6 +58,8 @@
 const OVER_SHARE: f64 = 1.2;
 /// Time in which what is known of an endpoint fades, unless more is heard of it.
 const STALE: f64 = 4_000_000.0;
+/// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
+const PUSH_REGAINED: Micros = 800_000;
 /// Part of the overload factor that a cold endpoint is sent at most.
 const COLD_PART: f64 = 0.4;
 
@@ -535,7 +537,11 @@
         let entries = match update {
             ListUpdate::Failed => {
                 self.fleet.ask_failures += 1;
-                let most = self.set.rules.ask_within as f64 / 2.0;
+                // Where changes are pushed, what is missed counts as told, and asking costs nobody anything.
+                let most = match self.set.discovery {
+                    Discovery::OnRequest => self.set.rules.ask_within as f64 / 2.0,
+                    Discovery::Pushed => PUSH_REGAINED as f64,
+                };
                 let grown = (most / 16.0 * f64::from(1u32 << self.fleet.ask_failures.min(8))).min(most);
                 let delay = grown * (0.5 + 0.5 * self.rng.f64());
                 return self.timers.at(later(now, delay), Wake::Discover);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -687,6 +687,18 @@
     }
 }
 
+// What a broken push did not bring counts as told all the same: it is asked for anew within 0.8 s.
+#[test]
+fn a_broken_push_of_the_list_is_soon_asked_for_anew() {
+    let set = Settings { discovery: Discovery::Pushed, ..settings() };
+    let mut rig = Rig::new(set, 2, 1);
+    for (failure, within) in [(0, 100), (1, 200), (2, 400), (3, 800), (20, 800)] {
+        let actions = rig.event(Event::Endpoints(ListUpdate::Failed));
+        assert!(!actions.contains(&Action::Subscribe(true)), "not in a tight loop");
+        assert!(rig.wait(within * MS).contains(&Action::Subscribe(true)), "failure {failure}");
+    }
+}
+
 #[test]
 fn an_endpoint_number_out_of_all_bounds_is_ignored() {
     let mut rig = Rig::new(settings(), 2, 1);
