Tell refused clients when to come back, where the settings allow it

A refusal is still given at once; it now names a quarter of the class's aim, within what clients honour.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,8 +43,9 @@
 /// spread like waits in a queue), and a multiple of the fleet's bare slowness.
 const TARGET: f64 = 0.35;
 const STRETCH: f64 = 3.6;
-/// Part of the aim that a request waits for a bulwark.
+/// Part of the aim that a request waits for a bulwark, and that a refused client should stay away for.
 const WAIT: f64 = 0.15;
+const HOLD_OFF: f64 = 0.25;
 /// Weight of the newest answer in one server's slowness, in the fleet's, and in the work of a class; answers
 /// that make the bare slowness known, and its rise from there.
 const NEWEST: f64 = 0.2;
@@ -325,7 +326,12 @@
         let effect = self.set.classes[request.class].effect;
         let clean = request.attempts.iter().all(|a| !a.live && !a.may_have_run);
         if clean || matches!(effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. }) {
-            out.push(Action::Refuse { request: id, hold_off: 0 });
+            // Its client is told when the circuits and queues that turned it away will have moved on.
+            let most = if self.set.limits.retry_after { self.set.limits.max_retry_after } else { 0 };
+            out.push(Action::Refuse {
+                request: id,
+                hold_off: ((request.aim * HOLD_OFF) as Micros).min(most),
+            });
         } else {
             out.push(Action::Fail(id));
         }
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -289,6 +289,24 @@
     assert!(refused(&rig.wait(450 * MS), last));
 }
 
+#[test]
+fn a_refusal_says_when_to_come_back_where_clients_honour_that() {
+    for (may, most, within) in
+        [(true, 2000 * MS, 1..=1000 * MS), (true, 5 * MS, 1..=5 * MS), (false, 0, 0..=0)]
+    {
+        let mut set = settings();
+        (set.limits.retry_after, set.limits.max_retry_after) = (may, most);
+        let mut rig = Rig::new(set, 0, 4);
+        let (id, mut actions) = rig.request(SAFE);
+        actions.extend(rig.wait(1000 * MS));
+        let named = actions.iter().find_map(|a| match a {
+            Action::Refuse { request, hold_off } if *request == id => Some(*hold_off),
+            _ => None,
+        });
+        assert!(named.is_some_and(|n| within.contains(&n)), "{named:?} of {within:?}");
+    }
+}
+
 #[test]
 fn caps_grow_with_answers_in_time_and_shrink_with_late_ones() {
     let most = |time: Micros| {
