--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,10 +15,9 @@
 /// Retry budget: what a first try adds to it, and the most it holds; each further attempt takes one.
 const RETRIES: (f64, f64) = (0.1, 3.0);
 /// Load shedding: leeway beyond 1 when all that was sent came in time; the part of it for those behind
-/// others; over which time; requests' worth taken in any case.
+/// others; requests' worth taken in any case.
 const SHED_RISE: f64 = 4.0;
 const SHED_OTHERS: f64 = 0.75;
-const SHED_WINDOW: Micros = 4_000_000;
 const SHED_LEAST: f64 = 1.0;
 /// Breaker: share of errors that opens it, weight of the newest outcome, doublings of its open time, and the
 /// part of requests that may be trials of open circuits while others are closed.
@@ -57,8 +56,8 @@
 const FIRST_WORK: f64 = 1.0 / 8.0;
 /// A tenant this far above the mean use of quotas waits behind the others.
 const OVER_SHARE: f64 = 1.2;
-/// Time in which what is known of an endpoint fades, unless more is heard of it.
-const STALE: f64 = 4_000_000.0;
+/// Time in which what is learnt fades, in longest aims: a site with short aims has short troubles too.
+const MEMORY: Micros = 4;
 /// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
 const PUSH_REGAINED: Micros = 800_000;
 /// Part of the overload factor that a cold endpoint is sent at most.
@@ -67,6 +66,8 @@
 /// The decisions of one sidecar. Feed it events in order; it answers with actions.
 pub struct Balancer {
     set: Settings,
+    /// Time in which what is learnt fades to about a third, unless more is heard.
+    memory: Micros,
     rng: fastrand::Rng,
     endpoints: Vec<Endpoint>,
     requests: BTreeMap<RequestId, Request>,
@@ -83,7 +84,8 @@
         set.check()?;
         let (fleet, rng) = (Fleet::new(&set, FIRST_WORK, RETRIES.1), fastrand::Rng::with_seed(seed));
         let (endpoints, requests, queue, timers, log) = Default::default();
-        Ok(Self { set, rng, endpoints, requests, queue, timers, fleet, log })
+        let memory = MEMORY * set.longest_aim().min(HOUR);
+        Ok(Self { set, memory, rng, endpoints, requests, queue, timers, fleet, log })
     }
 
     /// Takes one event that happens at `now` and appends what is to be done.
@@ -115,7 +117,7 @@
         let class = &self.set.classes[new.class];
         let own = new.work.map_or(self.fleet.class_work[new.class], |w| w.clamp(1, HOUR) as f64);
         let aim = (class.aim as f64 + class.aim_stretch * own).min(class.deadline.max(class.aim) as f64);
-        self.fleet.asked.add(now, 1.0, 2 * SHED_WINDOW);
+        self.fleet.asked.add(now, 1.0, 2 * self.memory);
         self.fleet.trials = (self.fleet.trials + TRIALS).min(1.0);
         self.fleet.retries = (self.fleet.retries + RETRIES.0).min(RETRIES.1);
         // Half of what a request waits for is others' work: else any server looks slow to tiny requests.
@@ -147,14 +149,14 @@
     /// Sidecars then take little more than comes back in time; a cap of one in flight each is far too much.
     fn sheds(&mut self, now: Micros, over_share: bool) -> bool {
         let [over, good] =
-            [&self.fleet.over, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, SHED_WINDOW));
+            [&self.fleet.over, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, self.memory));
         self.rng.f64() * over > good * self.leeway(now) * if over_share { SHED_OTHERS } else { 1.0 }
     }
 
     /// From 1 to 5: much while what was sent of late came back in time, little while it fails.
     fn leeway(&self, now: Micros) -> f64 {
         let [sent, good] =
-            [&self.fleet.tried, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, SHED_WINDOW));
+            [&self.fleet.tried, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, self.memory));
         1.0 + SHED_RISE * (good / sent).powi(4)
     }
 
@@ -222,13 +224,13 @@
     /// learns anything of a server before it changes.
     fn reach(&self, now: Micros) -> f64 {
         let deadline = self.set.classes.iter().map(|c| c.deadline).max().unwrap_or(0).min(HOUR);
-        let turns = self.fleet.asked.rate(now, 2 * SHED_WINDOW) * deadline as f64 * ROUND;
+        let turns = self.fleet.asked.rate(now, 2 * self.memory) * deadline as f64 * ROUND;
         turns.max(LEAST_REACH).min(self.endpoints.len() as f64)
     }
 
     /// Time from one turn of an endpoint to its next.
     fn turn_time(&self, now: Micros) -> f64 {
-        self.reach(now) / self.fleet.asked.rate(now, 2 * SHED_WINDOW)
+        self.reach(now) / self.fleet.asked.rate(now, 2 * self.memory)
     }
 
     /// First cap, and the unit in which caps rise: sidecars seldom fill all at once, so parted by a root.
@@ -245,7 +247,7 @@
     /// those of its whole kind say. One sidecar in a thousand sees too little of each to tell them apart.
     fn slow(&self, now: Micros, e: &Endpoint) -> f64 {
         let kind = self.fleet.kinds.get(&e.kind).map_or(self.fleet.slow, |k| k.0);
-        kind + (e.slow - kind) * (-(now.saturating_sub(e.heard).max(0) as f64) / STALE).exp()
+        kind + (e.slow - kind) * (-(now.saturating_sub(e.heard).max(0) as f64) / self.memory as f64).exp()
     }
 
     /// The only way out for an attempt; what the rules forbid does not pass.
@@ -343,9 +345,9 @@
         let Some(request) = self.requests.remove(&id) else { return };
         // What waited for a bulwark in vain is no sign that work sent comes to nothing.
         if request.shed || !request.attempts.is_empty() {
-            self.fleet.over.add(now, 1.0, SHED_WINDOW);
-            self.fleet.tried.add(now, f64::from(u8::from(!request.shed)), SHED_WINDOW);
-            self.fleet.good.add(now, good, SHED_WINDOW);
+            self.fleet.over.add(now, 1.0, self.memory);
+            self.fleet.tried.add(now, f64::from(u8::from(!request.shed)), self.memory);
+            self.fleet.good.add(now, good, self.memory);
         }
         self.queue.remove(&(request.over_share, request.expires, id));
         request.cancel_live(id, None, &self.set.limits, out);
@@ -422,11 +424,11 @@
         let target = (TARGET / fleet.aim_use).min(STRETCH * fleet.bare);
         let sample = (took / was.work.max(1.0)).min(20.0 * fleet.slow);
         let bad = how != Outcome::Ok;
-        let fresh = 1.0 - (-(now.saturating_sub(e.heard).max(0) as f64) / STALE).exp();
+        let fresh = 1.0 - (-(now.saturating_sub(e.heard).max(0) as f64) / self.memory as f64).exp();
         if how == Outcome::Ok && !was.streaming {
             e.slow = slow + NEWEST * (sample - slow);
             let kind = fleet.kinds.entry(e.kind).or_insert((fleet.slow, now));
-            let gain = 1.0 - (-(now.saturating_sub(kind.1).max(0) as f64) / STALE).exp();
+            let gain = 1.0 - (-(now.saturating_sub(kind.1).max(0) as f64) / self.memory as f64).exp();
             *kind = (kind.0 + gain.max(NEWEST_FLEET) * (sample.min(4.0 * kind.0) - kind.0), now);
         }
         match how {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -676,6 +676,22 @@
     }
 }
 
+// Many sidecars see an endpoint once in seconds each. With short aims that is long ago, and one failure enough.
+#[test]
+fn how_long_ago_an_outcome_was_is_counted_in_aims() {
+    for (aim, opens) in [(1000 * MS, false), (250 * MS, true)] {
+        let mut set = settings();
+        set.classes.iter_mut().for_each(|c| c.aim = aim);
+        let mut rig = Rig::new(set, 1, 1);
+        used(&mut rig, 5);
+        rig.wait(1500 * MS);
+        let (id, _) = rig.request(UNSAFE);
+        let actions = rig.end(id, 0, Outcome::Error);
+        let opened = Action::Log("circuit of endpoint 0 open".to_owned());
+        assert_eq!(actions.contains(&opened), opens, "with an aim of {aim}");
+    }
+}
+
 #[test]
 fn a_quiet_sidecar_among_many_is_not_refused_what_comes_in_threes() {
     let mut rig = Rig::new(Settings { instances: 150, ..settings() }, 10, 1);
