Learn the pace of a group from all its endpoints and from attempts still out

In g0 the median answer is 59 ms in the first second, 146 in the next and 195 in the third (others 40 to 50), then its nine endpoints fall silent one after the other, still sent 277 and 203 attempts a second of which 105 and 47 are answered; g6 follows a second later. A sidecar has an answer from each endpoint only every 2 to 4 s, and an answer late by seconds tells nothing while it is out, so its part of the turns hardly moves.

Faulty lines: slow() in choice.rs, which for want of news falls back to the kind of machine alone; listings say which endpoints share a group. A group's pace is now the time that its attempts took, those still out included, by answer: the usual estimate where some times are cut off, weighed against two answers at the usual pace.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -58,6 +58,9 @@
 const OVER_SHARE: f64 = 1.2;
 /// Time in which what is learnt fades, in longest aims: a site with short aims has short troubles too.
 const MEMORY: Micros = 4;
+/// The most that one attempt counts in the pace of a group, and the answers that its usual pace counts as.
+const MOST_RATIO: f64 = 8.0;
+const USUAL_ANSWERS: f64 = 2.0;
 /// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
 const PUSH_REGAINED: Micros = 800_000;
 /// Part of the overload factor that a cold endpoint is sent at most.
@@ -95,6 +98,7 @@
             self.fleet.subscribed = true;
             out.push(Action::Subscribe(true));
         }
+        self.pace_groups(now);
         match event {
             Event::Endpoints(update) => self.listed(now, update),
             Event::Request(new) => self.admit(now, new, out),
@@ -244,10 +248,32 @@
     }
 
     /// Time that an endpoint takes for a unit of work: what its own answers say, and as they grow old what
-    /// those of its whole kind say. One sidecar in a thousand sees too little of each to tell them apart.
+    /// those of its whole kind and group say. One sidecar in many sees too little of each to tell them apart.
     fn slow(&self, now: Micros, e: &Endpoint) -> f64 {
         let kind = self.fleet.kinds.get(&e.kind).map_or(self.fleet.slow, |k| k.0);
-        kind + (e.slow - kind) * (-(now.saturating_sub(e.heard).max(0) as f64) / self.memory as f64).exp()
+        let usual = kind * self.fleet.groups.get(&e.cell).map_or(1.0, |g| g.pace);
+        usual + (e.slow - usual) * (-(now.saturating_sub(e.heard).max(0) as f64) / self.memory as f64).exp()
+    }
+
+    /// How slow each group of endpoints is against their kinds: the time that attempts took, and that those in
+    /// flight have taken so far, by answer.
+    fn pace_groups(&mut self, now: Micros) {
+        let Fleet { groups, kinds, slow, .. } = &mut self.fleet;
+        for group in groups.values_mut() {
+            group.out = 0.0;
+        }
+        for e in self.endpoints.iter().filter(|e| !e.flights.is_empty()) {
+            let usual = kinds.get(&e.kind).map_or(*slow, |k| k.0);
+            let so_far = |f: &Flight| {
+                (now.saturating_sub(f.sent) as f64 / (f.work * usual).max(1.0)).clamp(0.0, MOST_RATIO)
+            };
+            let out: f64 = e.flights.iter().filter(|f| !f.streaming).map(so_far).sum();
+            groups.entry(e.cell).or_default().out += out;
+        }
+        for group in groups.values_mut() {
+            let [time, answers] = [&group.time, &group.answers].map(|sum| sum.now(now, self.memory));
+            group.pace = (USUAL_ANSWERS + time + group.out) / (USUAL_ANSWERS + answers);
+        }
     }
 
     /// The only way out for an attempt; what the rules forbid does not pass.
@@ -262,7 +288,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (e, attempt) = (&mut self.endpoints[endpoint], request.attempts.len() as AttemptNo);
         let (class, work) = (request.class, request.work);
-        e.flights.push(Flight { request: id, attempt, class, work, streaming: false });
+        e.flights.push(Flight { request: id, attempt, class, work, sent: now, streaming: false });
         self.fleet.turn = self.fleet.turn.max(e.pass);
         e.pass = self.fleet.turn + 1.0 / weight;
         (e.last_sent, e.cold_at, e.cold_credit) = (now, now, credit - work);
@@ -431,6 +457,12 @@
             let gain = 1.0 - (-(now.saturating_sub(kind.1).max(0) as f64) / self.memory as f64).exp();
             *kind = (kind.0 + gain.max(NEWEST_FLEET) * (sample.min(4.0 * kind.0) - kind.0), now);
         }
+        if matches!(how, Outcome::Ok | Outcome::TimedOut) && !was.streaming {
+            let usual = fleet.kinds.get(&e.kind).map_or(fleet.slow, |k| k.0);
+            let group = fleet.groups.entry(e.cell).or_default();
+            group.time.add(now, (sample / usual).min(MOST_RATIO), self.memory);
+            group.answers.add(now, f64::from(u8::from(!bad)), self.memory);
+        }
         match how {
             // A stream lasts as long as it has to say something: that tells nothing of the pace.
             Outcome::Ok if was.streaming => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,9 +25,26 @@
     pub attempt: AttemptNo,
     pub class: ClassId,
     pub work: f64,
+    pub sent: Micros,
     pub streaming: bool,
 }
 
+/// A group of endpoints, which may share something that limits them together.
+pub struct Group {
+    /// Time that attempts took, in usual times of their endpoints' kinds, and answers.
+    pub time: Fading,
+    pub answers: Fading,
+    /// What attempts in flight have taken so far, and how many times slower than usual the group is.
+    pub out: f64,
+    pub pace: f64,
+}
+
+impl Default for Group {
+    fn default() -> Self {
+        Self { time: Fading::default(), answers: Fading::default(), out: 0.0, pace: 1.0 }
+    }
+}
+
 #[derive(Default)]
 pub struct Endpoint {
     pub zone: Option<ZoneId>,
@@ -116,6 +133,8 @@
     pub slow: f64,
     /// Slowness of each kind of endpoint, and when it was last seen.
     pub kinds: BTreeMap<Option<KindId>, (f64, Micros)>,
+    /// The pace of each group of endpoints.
+    pub groups: BTreeMap<u64, Group>,
     /// Slowness with no crowding, and answers seen.
     pub answers: f64,
     pub bare: f64,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -631,6 +631,22 @@
     assert!(slow <= 160, "{slow} of 480 to the slow kind");
 }
 
+// A limited group is overdriven within a second by many sidecars, each of which sees an endpoint once in seconds.
+#[test]
+fn a_group_that_slows_down_together_soon_gets_fewer_turns() {
+    let in_slow = |endpoint: EndpointId| endpoint / 8 == 1;
+    let mut to_slow = 0;
+    for seed in 0..20 {
+        let mut rig = Rig::new(Settings { instances: 100, ..settings() }, 0, seed);
+        let grouped = |endpoint| Listing { cell: endpoint as u64 / 8, ..listing(endpoint) };
+        rig.event(Event::Endpoints(ListUpdate::Full((0..40).map(grouped).collect())));
+        let to = sparse(&mut rig, 40, |e| if in_slow(e) { 900 * MS } else { 90 * MS });
+        to_slow += to.iter().filter(|e| in_slow(**e)).count();
+    }
+    // One in five endpoints, and one in five of 400 sends if nothing were learnt.
+    assert!(to_slow <= 40, "{to_slow} of 400 to the slow group");
+}
+
 #[test]
 fn trials_of_many_open_circuits_are_a_small_part_of_requests() {
     let mut rig = Rig::new(Settings { instances: 1000, ..settings() }, 8, 3);
