--- a/src/choice.rs
+++ b/src/choice.rs
@@ -255,8 +255,8 @@
         usual + (e.slow - usual) * (-(now.saturating_sub(e.heard).max(0) as f64) / self.memory as f64).exp()
     }
 
-    /// How slow each group of endpoints is against their kinds: the time that attempts took, and that those in
-    /// flight have taken so far, by answer.
+    /// How slow each group of endpoints is against their kinds: the time that attempts took, and that those
+    /// in flight have taken so far, by answer.
     fn pace_groups(&mut self, now: Micros) {
         let Fleet { groups, kinds, slow, .. } = &mut self.fleet;
         for group in groups.values_mut() {
