Shed load by how slow answers are against calm, not by how many fail

Faulty lines: sheds() in choice.rs weighed requests in time against all that ended. That falls when attempts have already timed out, and below 63 % of successes it takes less and less; silent endpoints, which each of the 100 sidecars has to find by itself, keep the share there. The measure is now the pace of answers and of what is still out against calm, over one aim: above twice that some are shed, at three times nearly all. Calm is the bare pace, but a seventh of the aim at least, so that a fleet which is slow for good but well inside its aims is not refused (an inherited test holds that).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,11 +14,16 @@
 const PATIENCE: f64 = 8.0;
 /// Retry budget: what a first try adds to it, and the most it holds; each further attempt takes one.
 const RETRIES: (f64, f64) = (0.1, 3.0);
-/// Load shedding: leeway beyond 1 when all that was sent came in time; the part of it for those behind
-/// others; requests' worth taken in any case.
-const SHED_RISE: f64 = 4.0;
+/// Load shedding: the pace against that in calm from which some requests are turned away and at which
+/// nearly all are, the part taken even then, to see when the crowd is over, and the part of repeats.
+const CROWDED: (f64, f64) = (2.0, 3.0);
+const SHED_LEAST: f64 = 0.02;
 const SHED_OTHERS: f64 = 0.75;
-const SHED_LEAST: f64 = 1.0;
+/// Leeway of the caps' sum beyond 1 when all that was sent came in time; requests counted in any case.
+const LEEWAY_RISE: f64 = 4.0;
+const LEEWAY_LEAST: f64 = 1.0;
+/// Part of the aim that a call takes in calm at least: a fleet slow for good but well inside it is no crowd.
+const CALM: f64 = 0.14;
 /// Breaker: share of errors that opens it, weight of the newest outcome, doublings of its open time, and the
 /// part of requests that may be trials of open circuits while others are closed.
 const ERROR_THRESHOLD: f64 = 0.5;
@@ -58,9 +63,8 @@
 const OVER_SHARE: f64 = 1.2;
 /// Time in which what is learnt fades, in longest aims: a site with short aims has short troubles too.
 const MEMORY: Micros = 4;
-/// The most that one attempt counts in the pace of a group, and the answers that its usual pace counts as.
+/// The most that one attempt counts in the pace of a group.
 const MOST_RATIO: f64 = 8.0;
-const USUAL_ANSWERS: f64 = 2.0;
 /// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
 const PUSH_REGAINED: Micros = 800_000;
 /// Part of the overload factor that a cold endpoint is sent at most.
@@ -130,7 +134,7 @@
         self.fleet.aim_use += NEWEST_FLEET * (work / aim - self.fleet.aim_use);
         // A repeat, which has spent part of its client's aim already, waits behind first tries.
         let over_share = self.over_share(now, new.tenant) || new.repeat;
-        let shed = self.sheds(now, over_share);
+        let shed = self.sheds(over_share);
         let request = Request {
             class: new.class,
             aim,
@@ -139,7 +143,6 @@
             due: new.due.clamp(now, now + HOUR) - 2 * self.set.tick,
             work,
             over_share,
-            shed,
             tries: 0,
             attempts: Vec::new(),
             state: State::Sent,
@@ -149,19 +152,21 @@
         if shed { self.finish(now, new.id, GaveUp::Shed, out) } else { self.place(now, new.id, out) }
     }
 
-    /// Load shedding: when much of what was asked of late got no answer in time, more only makes others late.
-    /// Sidecars then take little more than comes back in time; a cap of one in flight each is far too much.
-    fn sheds(&mut self, now: Micros, over_share: bool) -> bool {
-        let [over, good] =
-            [&self.fleet.over, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, self.memory));
-        self.rng.f64() * over > good * self.leeway(now) * if over_share { SHED_OTHERS } else { 1.0 }
+    /// Load shedding, before waits grow past all aims and crowded servers tip: the slower answers of late
+    /// and what is still out are against calm, the fewer requests are taken. Failures alone shed nothing:
+    /// they may be a few servers' own, and what the breaker is for.
+    fn sheds(&mut self, over_share: bool) -> bool {
+        let (some, most) = CROWDED;
+        let taken = ((most - self.fleet.crowd.pace) / (most - some)).max(SHED_LEAST);
+        let part = if over_share { SHED_OTHERS } else { 1.0 };
+        taken < 1.0 && self.rng.f64() > taken * part
     }
 
     /// From 1 to 5: much while what was sent of late came back in time, little while it fails.
     fn leeway(&self, now: Micros) -> f64 {
         let [sent, good] =
-            [&self.fleet.tried, &self.fleet.good].map(|sum| SHED_LEAST + sum.now(now, self.memory));
-        1.0 + SHED_RISE * (good / sent).powi(4)
+            [&self.fleet.tried, &self.fleet.good].map(|sum| LEEWAY_LEAST + sum.now(now, self.memory));
+        1.0 + LEEWAY_RISE * (good / sent).powi(4)
     }
 
     /// Sends the request where its turn falls, lets it wait while all are capped, or counts a failed try.
@@ -266,25 +271,30 @@
         usual + (e.slow - usual) * (-(now.saturating_sub(e.heard).max(0) as f64) / self.memory as f64).exp()
     }
 
-    /// How slow each group of endpoints is against their kinds: the time that attempts took, and that those
-    /// in flight have taken so far, by answer.
+    /// Time for a unit of work in calm.
+    fn calm(&self) -> f64 {
+        self.fleet.bare.max(CALM / self.fleet.aim_use)
+    }
+
+    /// How slow each group of endpoints is against their kinds, and the fleet against calm.
     fn pace_groups(&mut self, now: Micros) {
-        let Fleet { groups, kinds, slow, .. } = &mut self.fleet;
-        for group in groups.values_mut() {
-            group.out = 0.0;
-        }
+        let calm = self.calm();
+        let Fleet { groups, kinds, slow, crowd, .. } = &mut self.fleet;
+        groups.values_mut().for_each(|g| g.out = 0.0);
+        crowd.out = 0.0;
         for e in self.endpoints.iter().filter(|e| !e.flights.is_empty()) {
             let usual = kinds.get(&e.kind).map_or(*slow, |k| k.0);
-            let so_far = |f: &Flight| {
-                (now.saturating_sub(f.sent) as f64 / (f.work * usual).max(1.0)).clamp(0.0, MOST_RATIO)
-            };
-            let out: f64 = e.flights.iter().filter(|f| !f.streaming).map(so_far).sum();
-            groups.entry(e.cell).or_default().out += out;
-        }
-        for group in groups.values_mut() {
-            let [time, answers] = [&group.time, &group.answers].map(|sum| sum.now(now, self.memory));
-            group.pace = (USUAL_ANSWERS + time + group.out) / (USUAL_ANSWERS + answers);
+            let so_far = |f: &Flight| now.saturating_sub(f.sent) as f64 / (f.work * usual).max(1.0);
+            let group = groups.entry(e.cell).or_default();
+            for so_far in e.flights.iter().filter(|f| !f.streaming).map(so_far) {
+                group.out += so_far.clamp(0.0, MOST_RATIO);
+                if e.circuit == Circuit::Closed {
+                    crowd.out += (so_far * *slow / calm).clamp(0.0, STRETCH);
+                }
+            }
         }
+        groups.values_mut().for_each(|g| g.reckon(now, self.memory));
+        crowd.reckon(now, self.set.longest_aim());
     }
 
     /// The only way out for an attempt; what the rules forbid does not pass.
@@ -379,9 +389,8 @@
     fn forget(&mut self, now: Micros, id: RequestId, good: f64, out: &mut Vec<Action>) {
         let Some(request) = self.requests.remove(&id) else { return };
         // What waited for a bulwark in vain is no sign that work sent comes to nothing.
-        if request.shed || !request.attempts.is_empty() {
-            self.fleet.over.add(now, 1.0, self.memory);
-            self.fleet.tried.add(now, f64::from(u8::from(!request.shed)), self.memory);
+        if !request.attempts.is_empty() {
+            self.fleet.tried.add(now, 1.0, self.memory);
             self.fleet.good.add(now, good, self.memory);
         }
         self.queue.remove(&(request.over_share, request.expires, id));
@@ -453,7 +462,7 @@
     fn learn(&mut self, now: Micros, end: AttemptEnd, was: &Flight, out: &mut Vec<Action>) {
         let (i, how, took) = (end.endpoint, end.outcome, end.took.clamp(1, HOUR) as f64);
         let (busy, caps) = in_flight(&self.endpoints);
-        let first_cap = self.first_cap();
+        let (first_cap, calm) = (self.first_cap(), self.calm());
         let slow = self.endpoints.get(i).map_or(1.0, |e| self.slow(now, e));
         let (e, fleet) = (&mut self.endpoints[i], &mut self.fleet);
         let target = (TARGET / fleet.aim_use).min(STRETCH * fleet.bare);
@@ -468,9 +477,11 @@
         }
         if matches!(how, Outcome::Ok | Outcome::TimedOut) && !was.streaming {
             let usual = fleet.kinds.get(&e.kind).map_or(fleet.slow, |k| k.0);
-            let group = fleet.groups.entry(e.cell).or_default();
-            group.time.add(now, (sample / usual).min(MOST_RATIO), self.memory);
-            group.answers.add(now, f64::from(u8::from(!bad)), self.memory);
+            let (ratio, window) = (sample / usual, self.set.longest_aim());
+            fleet.groups.entry(e.cell).or_default().add(now, ratio.min(MOST_RATIO), !bad, self.memory);
+            if !bad {
+                fleet.crowd.add(now, (ratio * fleet.slow / calm).min(STRETCH), true, window);
+            }
         }
         match how {
             // A stream lasts as long as it has to say something: that tells nothing of the pace.
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,22 +29,39 @@
     pub streaming: bool,
 }
 
-/// A group of endpoints, which may share something that limits them together.
+/// The pace of some endpoints: the time that attempts took by answer, as is usual where some are cut off.
 pub struct Group {
-    /// Time that attempts took, in usual times of their endpoints' kinds, and answers.
-    pub time: Fading,
-    pub answers: Fading,
-    /// What attempts in flight have taken so far, and how many times slower than usual the group is.
+    /// Time that attempts took, in usual times, and answers.
+    time: Fading,
+    answers: Fading,
+    /// What attempts in flight have taken so far, and how many times slower than usual all are.
     pub out: f64,
     pub pace: f64,
 }
 
+/// Answers at the usual pace that are counted in with those seen.
+const USUAL_ANSWERS: f64 = 2.0;
+
 impl Default for Group {
     fn default() -> Self {
         Self { time: Fading::default(), answers: Fading::default(), out: 0.0, pace: 1.0 }
     }
 }
 
+impl Group {
+    /// Counts an attempt that took this many usual times, with an answer or without.
+    pub fn add(&mut self, now: Micros, time: f64, answered: bool, window: Micros) {
+        self.time.add(now, time, window);
+        self.answers.add(now, f64::from(u8::from(answered)), window);
+    }
+
+    /// Brings the pace up to date.
+    pub fn reckon(&mut self, now: Micros, window: Micros) {
+        let [time, answers] = [&self.time, &self.answers].map(|sum| sum.now(now, window));
+        self.pace = (USUAL_ANSWERS + time + self.out) / (USUAL_ANSWERS + answers);
+    }
+}
+
 #[derive(Default)]
 pub struct Endpoint {
     pub zone: Option<ZoneId>,
@@ -95,7 +112,6 @@
     pub due: Micros,
     pub work: f64,
     pub over_share: bool,
-    pub shed: bool,
     pub tries: u32,
     pub attempts: Vec<Attempt>,
     pub state: State,
@@ -132,6 +148,8 @@
     pub slow: f64,
     /// Slowness of each kind of endpoint, and when it was last seen.
     pub kinds: BTreeMap<Option<KindId>, (f64, Micros)>,
+    /// The pace of all endpoints against that in calm.
+    pub crowd: Group,
     /// The pace of each group of endpoints.
     pub groups: BTreeMap<u64, Group>,
     /// Slowness with no crowding, and answers seen.
@@ -139,10 +157,9 @@
     pub bare: f64,
     /// Work served, and requests of each tenant.
     pub served: Fading,
-    /// Requests that are over, those of them answered in time, and those not shed.
-    pub over: Fading,
-    pub good: Fading,
+    /// Requests sent that are over, and those of them answered in time.
     pub tried: Fading,
+    pub good: Fading,
     /// Requests taken.
     pub asked: Fading,
     pub tenants: Vec<Fading>,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -600,6 +600,30 @@
     assert_eq!(well, 40, "taken once all come in time again");
 }
 
+// Crowded servers tip before their answers come late: by then shedding is too late.
+#[test]
+fn what_comes_slowly_is_shed_in_part_while_it_still_comes_in_time() {
+    let mut rig = Rig::new(Settings { instances: 100, ..settings() }, 60, 4);
+    let mut taken = |time: Micros| {
+        let before = rig.sends.len();
+        for _ in 0..200 {
+            rig.request_for(UNSAFE, 3000 * MS, None, Some(100 * MS));
+            rig.wait(50 * MS);
+            for ((id, attempt), out) in rig.out.clone() {
+                if rig.now - out.sent >= time {
+                    rig.end(id, attempt, Outcome::Ok);
+                }
+            }
+        }
+        rig.sends.len() - before
+    };
+    assert_eq!(taken(100 * MS), 200);
+    let slow = taken(500 * MS);
+    assert!((20..=160).contains(&slow), "{slow} of 200 taken at five times the pace, half of the aim");
+    taken(100 * MS);
+    assert_eq!(taken(100 * MS), 200, "taken once the pace is back");
+}
+
 #[test]
 fn retries_are_rationed() {
     let mut rig = Rig::new(settings(), 12, 1);
