Shed from 1.6 times the calm pace on, as servers tip at about twice it

At 2 to 2.4 times the wait is that of the four to seven requests a core at which the operators saw servers slow down, so a limit that begins there comes too late by design.

Faulty line: CROWDED in choice.rs, set before this was known.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,7 @@
 const RETRIES: (f64, f64) = (0.1, 3.0);
 /// Load shedding: the pace against that in calm from which some requests are turned away and at which
 /// nearly all are, the part taken even then, to see when the crowd is over, and the part of repeats.
-const CROWDED: (f64, f64) = (2.0, 3.0);
+const CROWDED: (f64, f64) = (1.6, 2.4);
 const SHED_LEAST: f64 = 0.02;
 const SHED_OTHERS: f64 = 0.75;
 /// Leeway of the caps' sum beyond 1 when all that was sent came in time; requests counted in any case.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -618,8 +618,10 @@
         rig.sends.len() - before
     };
     assert_eq!(taken(100 * MS), 200);
+    let crowded = taken(250 * MS);
+    assert!((80..=190).contains(&crowded), "{crowded} of 200 taken at two and a half times the pace");
     let slow = taken(500 * MS);
-    assert!((20..=160).contains(&slow), "{slow} of 200 taken at five times the pace, half of the aim");
+    assert!((4..=60).contains(&slow), "{slow} of 200 taken at five times the pace, half of the aim");
     taken(100 * MS);
     assert_eq!(taken(100 * MS), 200, "taken once the pace is back");
 }
