Weigh turns by the square of the pace, so that choked servers rest

A choked server is two to three times slower until it has been mostly idle for a while; turns in proportion to the pace give it just as much less, so it stays as busy and never recovers.

Faulty line: weight() in choice.rs. The square leaves a server at a third of the pace a ninth of its turns. The bounds are 0.05, as its trials cost the whole fleet little then, and 2 as before. Two inherited tests allow for it: in one the slowest of four gets a little less, in the other the three picks after 0.6 s of waiting attempts need not go to three endpoints.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -260,7 +260,7 @@
 
     /// An endpoint's part of the turns: its size, less while it is cold or slower than the fleet.
     fn weight(&self, now: Micros, e: &Endpoint) -> f64 {
-        e.size * self.warmth(now, e) * (self.fleet.slow / self.slow(now, e)).clamp(0.1, 2.0)
+        e.size * self.warmth(now, e) * (self.fleet.slow / self.slow(now, e)).powi(2).clamp(0.05, 2.0)
     }
 
     /// Time that an endpoint takes for a unit of work: what its own answers say, and as they grow old what
