Bound cold servers at 0.6 of the overload factor, and void a dead process's circuit

Faulty lines: COLD_PART in choice.rs, 0.4 of a factor of 2.5: a cold server got at most its warm part of what a sidecar served of late, and that has dropped by half by then. 0.6 leaves turns to decide, and is 1.5 of the 2.5 allowed. listed() kept the circuit of a restarted server open until one of the rationed trials.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,7 +68,7 @@
 /// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
 const PUSH_REGAINED: Micros = 800_000;
 /// Part of the overload factor that a cold endpoint is sent at most.
-const COLD_PART: f64 = 0.4;
+const COLD_PART: f64 = 0.6;
 
 /// The decisions of one sidecar. Feed it events in order; it answers with actions.
 pub struct Balancer {
@@ -625,11 +625,10 @@
             (e.zone, e.cell, e.kind) = (l.zone, l.cell, l.kind);
             e.size = if l.size > 0.0 { l.size.clamp(1e-3, 1e6) } else { 1.0 };
             if l.started > e.started {
-                // A new process: what was known of the old one is void, but it is tried before it is trusted.
+                // A new process: what was known of the old one is void, its circuit too. What it gets while
+                // cold is bounded, and by rationed trials a whole site would take half a minute to come back.
                 (e.errors, e.slow, e.unreached) = (0.0, self.fleet.slow, 0);
-                if e.circuit != Circuit::Closed {
-                    e.circuit = Circuit::Open(now);
-                }
+                (e.circuit, e.openings) = (Circuit::Closed, 0);
                 self.chill(now, l.endpoint, l.started.unwrap_or(now));
             }
         }
