Count first tries over four rounds for the reach, not all tries over some aims

Counted over the 297 sidecars by endpoint: some 15 of 151 endpoints tip, and from then on every attempt at them fails. Endpoint 96 was met by 177 sidecars, 173 lost a request there and 98 at their very first contact, though a reach of 43 of 151 means 87 sidecars:

10.781 tinflow: circuit of endpoint N open (three sidecars in that ms)

Cause: admit() and reach() in choice.rs. The traffic behind the reach was all tries over eight longest aims, 2.4 s here. Repeats of clients that were shed count as traffic, so shedding raised the reach from 43 to 79, and a count of 40 swings by a sixth. Each swing leads 300 sidecars on to endpoints that they do not know, at the cost of a dial and, where one is sick, of a request. First tries are counted now, over four rounds.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,8 +33,10 @@
 /// by itself, also while it is made.
 const DEAD_AFTER: u32 = 2;
 const TRIALS: f64 = 0.05;
-/// Longest deadlines within which own traffic must bring a turn to an endpoint; endpoints used at the least.
+/// Longest deadlines within which own traffic must bring a turn to an endpoint; such rounds over which that
+/// traffic is counted, as over one it swings by a sixth at 16 requests a second; endpoints used at the least.
 const ROUND: f64 = 2.0;
+const ROUNDS_COUNTED: f64 = 4.0;
 const LEAST_REACH: f64 = 8.0;
 /// Bulwark: multiple of the fair part of what is in flight. Learnt cap: its first size and unit of rise (over
 /// the root of the number of sidecars), its step, its bounds, and the part in use from which caps grow.
@@ -125,7 +127,9 @@
         let class = &self.set.classes[new.class];
         let own = new.work.map_or(self.fleet.class_work[new.class], |w| w.clamp(1, HOUR) as f64);
         let aim = (class.aim as f64 + class.aim_stretch * own).min(class.deadline.max(class.aim) as f64);
-        self.fleet.asked.add(now, 1.0, 2 * self.memory);
+        // A refused client's repeats are no new traffic: they would lead on to ever more of the fleet.
+        let first_try = f64::from(u8::from(!new.repeat));
+        self.fleet.asked.add(now, first_try, (self.round() * ROUNDS_COUNTED) as Micros);
         self.fleet.trials = (self.fleet.trials + TRIALS).min(1.0);
         self.fleet.retries = (self.fleet.retries + RETRIES.0).min(RETRIES.1);
         // Half of what a request waits for is others' work: else any server looks slow to tiny requests.
@@ -232,14 +236,22 @@
     /// connection to each and hardly ever use it: a thousand sidecars so fill every server's table, and none
     /// learns anything of a server before it changes.
     fn reach(&self, now: Micros) -> f64 {
-        let deadline = self.set.classes.iter().map(|c| c.deadline).max().unwrap_or(0).min(HOUR);
-        let turns = self.fleet.asked.rate(now, 2 * self.memory) * deadline as f64 * ROUND;
-        turns.max(LEAST_REACH).min(self.endpoints.len() as f64)
+        (self.asked(now) * self.round()).max(LEAST_REACH).min(self.endpoints.len() as f64)
+    }
+
+    /// The time in which all endpoints within reach are to have their turn.
+    fn round(&self) -> f64 {
+        ROUND * self.set.longest_deadline().min(HOUR) as f64
+    }
+
+    /// First tries that came a microsecond, of late.
+    fn asked(&self, now: Micros) -> f64 {
+        self.fleet.asked.rate(now, (self.round() * ROUNDS_COUNTED) as Micros)
     }
 
     /// Time from one turn of an endpoint to its next.
     fn turn_time(&self, now: Micros) -> f64 {
-        self.reach(now) / self.fleet.asked.rate(now, 2 * self.memory)
+        self.reach(now) / self.asked(now)
     }
 
     /// First cap, and the unit in which caps rise: sidecars seldom fill all at once, so parted by a root.
--- a/src/state.rs
+++ b/src/state.rs
@@ -160,7 +160,7 @@
     /// Requests sent that are over, and those of them answered in time.
     pub tried: Fading,
     pub good: Fading,
-    /// Requests taken.
+    /// First tries that came.
     pub asked: Fading,
     pub tenants: Vec<Fading>,
 }
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -42,6 +42,30 @@
     }
 }
 
+// Refused clients come back: their repeats, and a moment's more traffic, must not lead on to endpoints not met yet.
+#[test]
+fn repeats_and_a_short_burst_do_not_lead_on_to_further_endpoints() {
+    let mut rig = Rig::new(Settings { marks_repeat: true, ..settings() }, 64, 1);
+    let mut met = |rounds, repeats, pause| {
+        let mut used = std::collections::BTreeSet::new();
+        for _ in 0..rounds {
+            for n in 0..=repeats {
+                let (id, due) = (rig.next, rig.now + 3000 * MS);
+                rig.next += 1;
+                let new =
+                    NewRequest { id, class: SAFE, tenant: None, key: None, due, work: None, repeat: n > 0 };
+                used.extend(sent(&rig.event(Event::Request(new))));
+                rig.serve(20 * MS);
+            }
+            rig.wait(pause);
+        }
+        used.len()
+    };
+    let few = met(400, 0, 380 * MS);
+    assert!(met(200, 2, 340 * MS) <= few + 2, "repeats lead on beyond {few}");
+    assert!(met(20, 0, 180 * MS) <= few + 2, "four seconds of twice the traffic lead on beyond {few}");
+}
+
 #[test]
 fn an_endpoint_lost_from_the_few_is_replaced() {
     let mut rig = Rig::new(settings(), 64, 1);
