Take a whole list without entries as a failed call, and keep the old one

Faulty lines: exchange() in discovery.rs passed on whatever could be read. An empty whole list is a failure now, asked for anew after growing, jittered waits; changes without entries are still how a watch ends.

The test of discovery that answers nonsense had expected the opposite; without the change it now fails at the request after the empty list.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -196,5 +196,10 @@
         return Err(format!("status {}", head.status.as_u16()));
     }
     *link = Some(connection);
-    serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
+    let list: HostList = serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))?;
+    // To follow it would leave nothing to serve with; more likely discovery has lost what it knew.
+    if list.snapshot && list.endpoints.is_empty() {
+        return Err("empty list".to_owned());
+    }
+    Ok(list)
 }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -255,9 +255,14 @@
     discovery.publish(2, r#"{"index":2,"endpoints":[{"name":7}]}"#.to_owned());
     await_that("nonsense is asked for again", || discovery.calls().len() >= calls + 3);
     assert!(served());
-    // And what comes after it counts.
+    // A whole list without a single entry says no more than nonsense does.
+    let calls = discovery.calls().len();
     discovery.publish(3, list(3, true, &[]));
-    discovery.await_watch(3);
+    await_that("an empty list is asked for again", || discovery.calls().len() >= calls + 3);
+    assert!(served());
+    // And what comes after it counts.
+    discovery.publish(4, list(4, true, &[("s-1", endpoint.address, "leaving")]));
+    discovery.await_watch(4);
     assert!(!served());
 }
 
