Forget endpoints that are gone, so that replaced ones cost no time and memory

An endpoint that is gone is now dropped once nothing is in flight there and no open request has tried it (a keyed retry still asks who shares its keys), and its number, which the module says it does not know any more, goes to the next new name.

The test fails at the first number to come free without drop_gone().

--- a/src/api.rs
+++ b/src/api.rs
@@ -8,7 +8,8 @@
 pub type RequestId = u64;
 /// The how-manieth attempt of a request, from 0, in the order in which [`Action::Send`] was issued.
 pub type AttemptNo = u32;
-/// An endpoint, numbered densely from 0 by the caller; stable for the life of an instance.
+/// An endpoint, numbered densely from 0 by the caller. The number stays its own until the instance, told that
+/// the endpoint is gone, no longer knows it.
 pub type EndpointId = usize;
 /// Position of a class in [`Settings::classes`].
 pub type ClassId = usize;
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -304,6 +304,9 @@
 
     /// Brings the sockets' view of the endpoints up to date, before the module can send anything more.
     fn apply(&mut self, list: HostList, full: bool) -> Vec<Listing> {
+        for id in self.endpoints.release(|id| !self.balancer.knows(id)) {
+            self.upstream.release(id);
+        }
         let mut listings = Vec::with_capacity(list.endpoints.len());
         for host in list.endpoints {
             let id = self.endpoints.id(&host.name);
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -334,6 +334,13 @@
         Rc::clone(&endpoints[id])
     }
 
+    /// The number goes to another endpoint: nothing of the one before it stays.
+    pub fn release(&self, id: usize) {
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
+            *endpoint = Rc::default();
+        }
+    }
+
     /// Endpoints that are not among these are gone.
     pub fn keep_only(&self, listed: &HashSet<usize>) {
         for (id, endpoint) in self.endpoints.borrow().iter().enumerate() {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -236,7 +236,7 @@
     /// connection to each and hardly ever use it: a thousand sidecars so fill every server's table, and none
     /// learns anything of a server before it changes.
     fn reach(&self, now: Micros) -> f64 {
-        (self.asked(now) * self.round()).max(LEAST_REACH).min(self.endpoints.len() as f64)
+        (self.asked(now) * self.round()).max(LEAST_REACH).min(self.fleet.ring.len() as f64)
     }
 
     /// The time in which all endpoints within reach are to have their turn.
@@ -620,20 +620,24 @@
             }
             ListUpdate::Delta(entries) => entries,
             ListUpdate::Full(entries) | ListUpdate::Cached(entries) => {
-                self.endpoints.iter_mut().for_each(|e| e.ready = false);
+                self.endpoints.iter_mut().for_each(|e| (e.listed, e.ready) = (false, false));
                 entries
             }
         };
         self.fleet.ask_failures = 0;
         for l in entries.into_iter().filter(|l| l.endpoint < MOST_ENDPOINTS) {
-            while self.endpoints.len() <= l.endpoint {
+            if self.endpoints.len() <= l.endpoint {
+                self.endpoints.resize_with(l.endpoint + 1, Endpoint::default);
+            }
+            if !self.endpoints[l.endpoint].held {
                 let (left, cap) = (self.rng.f64(), self.first_cap());
-                self.fleet.ring.insert(self.rng.usize(..=self.fleet.ring.len()), self.endpoints.len());
+                self.fleet.ring.insert(self.rng.usize(..=self.fleet.ring.len()), l.endpoint);
                 let (slow, heard) = (self.fleet.slow, now);
-                self.endpoints.push(Endpoint { slow, heard, left, cap, ..Endpoint::default() });
+                self.endpoints[l.endpoint] =
+                    Endpoint { held: true, slow, heard, left, cap, ..Endpoint::default() };
             }
             let e = &mut self.endpoints[l.endpoint];
-            e.ready = l.status == Status::Ready;
+            (e.listed, e.ready) = (l.status != Status::Gone, l.status == Status::Ready);
             (e.zone, e.cell, e.kind) = (l.zone, l.cell, l.kind);
             e.size = if l.size > 0.0 { l.size.clamp(1e-3, 1e6) } else { 1.0 };
             if l.started > e.started {
@@ -644,6 +648,29 @@
                 self.chill(now, l.endpoint, l.started.unwrap_or(now));
             }
         }
+        self.drop_gone();
+    }
+
+    /// Whether anything is remembered of this endpoint. The number of one that is gone and not known any more
+    /// may be given to another.
+    pub fn knows(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.get(endpoint).is_some_and(|e| e.held)
+    }
+
+    /// Drops endpoints that are gone, once no open request has been there: who is replaced over and over must
+    /// cost neither memory nor time at each pick.
+    fn drop_gone(&mut self) {
+        let tried: BTreeSet<_> =
+            self.requests.values().flat_map(|r| &r.attempts).map(|a| a.endpoint).collect();
+        for (i, e) in self.endpoints.iter_mut().enumerate() {
+            if e.held && !e.listed && e.flights.is_empty() && !tried.contains(&i) {
+                *e = Endpoint::default();
+            }
+        }
+        let endpoints = &self.endpoints;
+        self.fleet.ring.retain(|i| endpoints[*i].held);
+        let cells: BTreeSet<_> = endpoints.iter().filter(|e| e.held).map(|e| e.cell).collect();
+        self.fleet.groups.retain(|cell, _| cells.contains(cell));
     }
 
     fn wake(&mut self, now: Micros, token: u64, out: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,9 @@
     pub zone: Option<ZoneId>,
     pub cell: u64,
     pub kind: Option<KindId>,
+    /// Not gone from the list; a number whose endpoint is neither listed nor held is free for another.
+    pub listed: bool,
+    pub held: bool,
     pub ready: bool,
     pub size: f64,
     /// Start of its process as listed, or as guessed when it came back from the dead.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -851,6 +851,28 @@
     }
 }
 
+// Endpoints that are replaced over and over must not make each pick dearer: their numbers come free again.
+#[test]
+fn a_gone_endpoint_is_forgotten_once_no_open_request_has_been_there() {
+    let gone = |endpoint| Listing { status: Status::Gone, ..listing(endpoint) };
+    let mut rig = Rig::new(settings(), 2, 5);
+    let (id, actions) = rig.request(SAFE);
+    let [first] = sent(&actions)[..] else { panic!("one attempt") };
+    let other = 1 - first;
+    delta(&mut rig, gone(first));
+    assert!(rig.balancer.knows(first), "its answer may still come");
+    rig.end(id, 0, Outcome::Ok);
+    delta(&mut rig, listing(other));
+    assert!(!rig.balancer.knows(first) && rig.balancer.knows(other));
+    delta(&mut rig, Listing { status: Status::Draining, ..listing(other) });
+    assert!(rig.balancer.knows(other), "one that drains is still listed");
+    // Its number may go to another, which begins anew and gets its turns.
+    delta(&mut rig, listing(first));
+    assert_eq!(used(&mut rig, 1), [first]);
+    rig.event(Event::Endpoints(ListUpdate::Full(vec![listing(other)])));
+    assert!(!rig.balancer.knows(first), "a whole list without it is enough");
+}
+
 #[test]
 fn an_endpoint_number_out_of_all_bounds_is_ignored() {
     let mut rig = Rig::new(settings(), 2, 1);
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -241,6 +241,26 @@
     assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"after");
 }
 
+// Numbers of endpoints that are gone are given out anew: answers must still come from whom the list names.
+#[test]
+fn endpoints_replaced_over_and_over_are_told_apart() {
+    let discovery = Discovery::start();
+    let endpoints: Vec<_> = (0..5).map(|n| Endpoint::start(move |_| ok(&format!("from {n}")))).collect();
+    let sidecar = Sidecar::start(&discovery, &[("s-0", &endpoints[0])]);
+    for n in 0..5 {
+        let answer = sidecar.ask(&request("book", "", "")).expect("an answer");
+        assert_eq!(answer.body, format!("from {n}").as_bytes());
+        if n < 4 {
+            let (version, old, new) = (n as u64 + 2, format!("s-{n}"), format!("s-{}", n + 1));
+            let entries =
+                [(&*old, endpoints[n].address, "left"), (&*new, endpoints[n + 1].address, "active")];
+            discovery.publish(version, list(version, false, &entries));
+            discovery.await_watch(version);
+        }
+    }
+    assert!(endpoints.iter().all(|e| e.requests() == 1));
+}
+
 #[test]
 fn discovery_that_fails_or_answers_nonsense_leaves_the_list_as_it_was() {
     let discovery = Discovery::start();
