Part a cold endpoint's credit among those within reach, not among all listed

At 12 s 2,000 attempts a second go out in place of 4,400, the few warm endpoints tip under them and 45.7 % of the requests of 10 to 15 s are refused.

Faulty lines: cold_credit() in choice.rs. Of what this sidecar is seen to serve, a cold endpoint may be sent its part by size of all that are ready; but the sidecar's turns go to those within reach only, 13 here, and the other sidecars that share the endpoint are as much fewer. The part is of those within reach now.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -454,8 +454,11 @@
             return f64::INFINITY;
         }
         let tip = (self.set.rules.tip_after as f64).max(1.0);
-        let sizes: f64 = self.endpoints.iter().filter(|e| e.ready).map(|e| e.size).sum();
-        let served = self.fleet.served.total / (2.0 * tip) * e.size / sizes;
+        // What this sidecar serves is parted among those within its reach, not all that are listed.
+        let (ready, sizes) =
+            self.endpoints.iter().filter(|e| e.ready).fold((0.0, 0.0), |(n, sum), e| (n + 1.0, sum + e.size));
+        let part = (self.reach(now) / f64::max(ready, 1.0)).min(1.0);
+        let served = self.fleet.served.total / (2.0 * tip) * e.size / (sizes * part);
         // One request each of a thousand sidecars pushes it over: what is not earned is parted among all.
         let least = self.fleet.mean_work / (tip * f64::from(self.set.instances.max(1)));
         let rate = (served * self.set.rules.overload_factor * COLD_PART * warmth).max(least);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -99,6 +99,34 @@
     assert!(to_cold <= 20, "{to_cold} of 800 requests to one that started a moment ago");
 }
 
+// With six in ten endpoints cold at once, hardly one of them served anything until it was warm.
+#[test]
+fn a_cold_endpoint_within_reach_gets_its_small_part_however_many_are_listed() {
+    let mut set = settings();
+    set.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (300 * MS, 1340 * MS));
+    let mut sends = [0, 0];
+    for seed in 0..10 {
+        let mut rig = Rig::new(Settings { instances: 297, ..set.clone() }, 151, seed);
+        let pass = |rig: &mut Rig, requests: usize| {
+            let mut to = Vec::new();
+            for _ in 0..requests {
+                to.extend(sent(&rig.request_for(SAFE, 800 * MS, None, None).1));
+                rig.serve(20 * MS);
+                rig.wait(40 * MS);
+            }
+            to
+        };
+        let warm = pass(&mut rig, 300);
+        let one = warm[warm.len() - 1];
+        sends[0] += warm.iter().skip(250).filter(|e| **e == one).count();
+        let started = Some(rig.now);
+        delta(&mut rig, Listing { started, ..listing(one) });
+        sends[1] += pass(&mut rig, 50).iter().filter(|e| **e == one).count();
+    }
+    let [warm, cold] = sends;
+    assert!(cold * 4 >= warm && cold * 2 <= warm, "{cold} sends in 3 s, {warm} while it was warm");
+}
+
 #[test]
 fn a_fleet_that_is_all_cold_is_tried_a_little_and_fully_used_once_warm() {
     let mut rig = Rig::new(Settings { instances: 200, ..settings() }, 0, 3);
