--- /dev/null
+++ b/src/choice/list.rs
@@ -0,0 +1,79 @@
+//! The list of endpoints as discovery tells it. Changes with how a list is followed.
+
+use crate::api::*;
+use crate::state::*;
+use std::collections::BTreeSet;
+
+/// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
+pub(crate) const PUSH_REGAINED: Micros = 800_000;
+
+impl Balancer {
+    /// Follows the list. Draining, gone and missing endpoints get nothing from now on.
+    pub(crate) fn listed(&mut self, now: Micros, update: ListUpdate) {
+        let entries = match update {
+            ListUpdate::Failed => {
+                self.fleet.ask_failures += 1;
+                // Where changes are pushed, what is missed counts as told, and asking costs nobody anything.
+                let most = match self.set.discovery {
+                    Discovery::OnRequest => self.set.rules.ask_within as f64 / 2.0,
+                    Discovery::Pushed => PUSH_REGAINED as f64,
+                };
+                let grown = (most / 16.0 * f64::from(1u32 << self.fleet.ask_failures.min(8))).min(most);
+                let delay = grown * (0.5 + 0.5 * self.rng.f64());
+                return self.timers.at(later(now, delay), Wake::Discover);
+            }
+            ListUpdate::Delta(entries) => entries,
+            ListUpdate::Full(entries) | ListUpdate::Cached(entries) => {
+                self.endpoints.iter_mut().for_each(|e| (e.listed, e.ready) = (false, false));
+                entries
+            }
+        };
+        self.fleet.ask_failures = 0;
+        for l in entries.into_iter().filter(|l| l.endpoint < MOST_ENDPOINTS) {
+            if self.endpoints.len() <= l.endpoint {
+                self.endpoints.resize_with(l.endpoint + 1, Endpoint::default);
+            }
+            if !self.endpoints[l.endpoint].held {
+                let (left, cap) = (self.rng.f64(), self.first_cap());
+                self.fleet.ring.insert(self.rng.usize(..=self.fleet.ring.len()), l.endpoint);
+                let (slow, heard) = (self.fleet.slow, now);
+                self.endpoints[l.endpoint] =
+                    Endpoint { held: true, slow, heard, left, cap, ..Endpoint::default() };
+            }
+            let e = &mut self.endpoints[l.endpoint];
+            (e.listed, e.ready) = (l.status != Status::Gone, l.status == Status::Ready);
+            (e.zone, e.cell, e.kind) = (l.zone, l.cell, l.kind);
+            e.size = if l.size > 0.0 { l.size.clamp(1e-3, 1e6) } else { 1.0 };
+            if l.started > e.started {
+                // A new process: what was known of the old one is void, its circuit too. What it gets while
+                // cold is bounded, and by rationed trials a whole site would take half a minute to come back.
+                (e.errors, e.slow, e.unreached) = (0.0, self.fleet.slow, 0);
+                (e.circuit, e.openings) = (Circuit::Closed, 0);
+                self.chill(now, l.endpoint, l.started.unwrap_or(now));
+            }
+        }
+        self.drop_gone();
+    }
+
+    /// Whether anything is remembered of this endpoint. The number of one that is gone and not known any more
+    /// may be given to another.
+    pub fn knows(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.get(endpoint).is_some_and(|e| e.held)
+    }
+
+    /// Drops endpoints that are gone, once no open request has been there: who is replaced over and over must
+    /// cost neither memory nor time at each pick.
+    pub(crate) fn drop_gone(&mut self) {
+        let tried: BTreeSet<_> =
+            self.requests.values().flat_map(|r| &r.attempts).map(|a| a.endpoint).collect();
+        for (i, e) in self.endpoints.iter_mut().enumerate() {
+            if e.held && !e.listed && e.flights.is_empty() && !tried.contains(&i) {
+                *e = Endpoint::default();
+            }
+        }
+        let endpoints = &self.endpoints;
+        self.fleet.ring.retain(|i| endpoints[*i].held);
+        let cells: BTreeSet<_> = endpoints.iter().filter(|e| e.held).map(|e| e.cell).collect();
+        self.fleet.groups.retain(|cell, _| cells.contains(cell));
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::api::*;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 /// Longest timer and longest time taken from outside.
 pub const HOUR: Micros = 3_600_000_000;
@@ -11,6 +11,21 @@
 /// Clocks beyond this are taken as this.
 pub const FAR: Micros = Micros::MAX / 4;
 
+/// The decisions of one sidecar. Feed it events in order; it answers with actions.
+pub struct Balancer {
+    pub(crate) set: Settings,
+    /// Time in which what is learnt fades to about a third, unless more is heard.
+    pub(crate) memory: Micros,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    /// Requests waiting for a bulwark: first tries inside their share come first, then by expiry.
+    pub(crate) queue: BTreeSet<(bool, Micros, RequestId)>,
+    pub(crate) timers: Timers,
+    pub(crate) fleet: Fleet,
+    pub(crate) log: Log,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Circuit {
     #[default]
