Break the circle of five files in the sidecar: shared types stand in files of their own

config, discovery, engine, inbound and upstream imported each other. What several need is now hosts.rs (the list as discovery writes it), messages.rs (what tasks tell each other), handle.rs (the engine as the application's side sees it), connection.rs, clock.rs, descriptors.rs and stop.rs; each file's first comment says its one reason to change.

--- /dev/null
+++ b/src/bin/tinflow/clock.rs
@@ -0,0 +1,32 @@
+//! The clock of the decision module. Changes with how real time becomes the module's.
+
+use linenproxy::Micros;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// The module's clock: Unix time as it was at the start, and from there on the monotonic clock, so that setting
+/// the system's clock moves nothing. Unix times from outside need no further conversion.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    start_us: Micros,
+}
+
+impl Clock {
+    /// Starts it.
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), start_us: Micros::try_from(unix.as_micros()).unwrap_or(0) }
+    }
+
+    /// Now, on the module's clock.
+    pub fn now(&self) -> Micros {
+        self.start_us
+            .saturating_add(Micros::try_from(self.start.elapsed().as_micros()).unwrap_or(Micros::MAX))
+    }
+
+    /// The instant of a time on this clock.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(u64::try_from(at.saturating_sub(self.start_us)).unwrap_or(0))
+    }
+}
--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -1,6 +1,7 @@
-//! What the sidecar is told at its start: the file that `LB_CONFIG` names, and the variables beside it.
+//! What the platform tells the sidecar at its start: the file that `LB_CONFIG` names, and the variables beside it.
+//! Changes with the platform's form of them.
 
-use crate::discovery::HostList;
+use crate::hosts::HostList;
 use linenproxy::settings::{self, Decoded};
 use serde::Deserialize;
 use serde_json::value::RawValue;
--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -1,11 +1,12 @@
-//! Asks discovery for the list of endpoints, when the module says so, and passes on what it answers.
+//! Asks discovery for the list of endpoints, when the module says so, and passes on what it answers. Changes with
+//! how discovery is called.
 
-use crate::engine::{Input, Inputs};
-use crate::upstream::{Connection, Meter};
+use crate::connection::{Connection, Meter};
+use crate::hosts::HostList;
+use crate::messages::{Input, Inputs};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
-use serde::Deserialize;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,59 +26,6 @@
 /// Longest list taken.
 const LONGEST: usize = 4 << 20;
 
-/// A list, or the changes to one.
-#[derive(Debug, Deserialize)]
-pub struct HostList {
-    /// Its version.
-    pub index: u64,
-    /// The whole list rather than changes.
-    #[serde(default)]
-    pub snapshot: bool,
-    /// Its entries.
-    pub endpoints: Vec<Host>,
-}
-
-/// An entry.
-#[derive(Debug, Deserialize)]
-pub struct Host {
-    /// The name, the same at every sidecar.
-    pub name: String,
-    /// Where this sidecar reaches it.
-    pub address: Option<SocketAddr>,
-    /// Its zone.
-    pub zone: Option<String>,
-    /// Its kind of machine.
-    #[serde(rename = "type")]
-    pub kind: Option<String>,
-    /// Its cell.
-    #[serde(default)]
-    pub group: u64,
-    /// Its state.
-    pub status: HostStatus,
-    /// Its size.
-    #[serde(default = "unit")]
-    pub weight: f64,
-    /// Unix time in milliseconds of its last start; 0 is long ago.
-    #[serde(default)]
-    pub since_ms: i64,
-}
-
-/// State of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum HostStatus {
-    /// Takes requests.
-    Active,
-    /// Finishes what it has.
-    Leaving,
-    /// Gone.
-    Left,
-}
-
-fn unit() -> f64 {
-    1.0
-}
-
 /// What may be asked of discovery.
 #[derive(Clone, Copy)]
 pub enum Ask {
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -1,24 +1,27 @@
 //! Owns the decision module: everything that happens on the sockets becomes an event for it, and its actions
-//! are carried out. Nothing is decided here.
+//! are carried out. Nothing is decided here. Changes with how an event is told or an action is carried out.
 
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::discovery::{self, Ask, HostList, HostStatus};
-use crate::inbound::Limits;
+use crate::descriptors::Limits;
+use crate::discovery::{self, Ask};
+use crate::handle::Handle;
+use crate::hosts::{HostList, HostStatus};
+use crate::messages::{Answer, Ended, Input, Inputs, Outgoing};
 use crate::peers::Peers;
-use crate::upstream::{Ended, Outgoing, Served, Upstream};
+use crate::upstream::Upstream;
 use linenproxy::settings::Names;
 use linenproxy::{
-    Action, AttemptEnd, AttemptNo, Balancer, Discovery, Event, ListUpdate, Listing, Load, Micros, NewRequest,
-    Outcome, RequestId, Status,
+    Action, AttemptEnd, AttemptNo, Balancer, Discovery, Event, ListUpdate, Listing, Load, Micros, Outcome,
+    RequestId, Status,
 };
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use std::time::Duration;
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until};
 
@@ -27,126 +30,6 @@
 /// Log lines about bad input from outside: one in this time.
 const COMPLAINT_SPACING: Duration = Duration::from_secs(5);
 
-/// The module's clock: Unix time as it was at the start, and from there on the monotonic clock, so that setting
-/// the system's clock moves nothing. Unix times from outside need no further conversion.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    start_us: Micros,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { start: Instant::now(), start_us: Micros::try_from(unix.as_micros()).unwrap_or(0) }
-    }
-
-    /// Now, on the module's clock.
-    pub fn now(&self) -> Micros {
-        self.start_us
-            .saturating_add(Micros::try_from(self.start.elapsed().as_micros()).unwrap_or(Micros::MAX))
-    }
-
-    fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(u64::try_from(at.saturating_sub(self.start_us)).unwrap_or(0))
-    }
-}
-
-/// What the sockets tell the engine.
-pub enum Input {
-    /// A client's request, what goes on to endpoints, and where its answer goes.
-    Request(NewRequest, Rc<Outgoing>, oneshot::Sender<Answer>),
-    /// Its client has left, or its answer is overdue.
-    Withdrawn(RequestId),
-    /// An attempt ended.
-    Ended(Ended),
-    /// A probe of an endpoint ended.
-    Probed(usize, Outcome, Micros, Load),
-    /// Discovery answered.
-    Hosts(HostList),
-    /// A call to discovery failed, for this reason.
-    HostsFailed(String),
-    /// A datagram from a peer.
-    Peer(u32, Vec<u8>, OwnedSemaphorePermit),
-}
-
-/// The one final answer to a request.
-pub enum Answer {
-    /// An endpoint's answer.
-    Served(Served),
-    /// Trying again is harmless, best after that time.
-    Refused(Micros),
-    /// Nothing is promised.
-    Failed,
-}
-
-/// Where inputs go. The channel has no bound of its own: bounded are the connections, attempts, calls and
-/// datagrams whose news it carries, and a client's leaving must never be lost.
-#[derive(Clone)]
-pub struct Inputs(mpsc::UnboundedSender<Input>);
-
-impl Inputs {
-    /// Hands over an input.
-    pub fn send(&self, input: Input) {
-        // The engine ends only with the process.
-        let _ = self.0.send(input);
-    }
-}
-
-/// The engine as the application's side sees it.
-#[derive(Clone)]
-pub struct Handle {
-    inputs: Inputs,
-    clock: Clock,
-    last_id: Rc<Cell<RequestId>>,
-}
-
-impl Handle {
-    /// Now, on the module's clock.
-    pub fn now(&self) -> Micros {
-        self.clock.now()
-    }
-
-    /// The instant of a time on the module's clock.
-    pub fn instant(&self, at: Micros) -> Instant {
-        self.clock.instant(at)
-    }
-
-    /// Hands over a request, which gets a new id.
-    pub fn submit(&self, request: NewRequest, outgoing: Outgoing) -> Owed {
-        let id = self.last_id.get() + 1;
-        self.last_id.set(id);
-        let (sender, answer) = oneshot::channel();
-        self.inputs.send(Input::Request(NewRequest { id, ..request }, Rc::new(outgoing), sender));
-        Owed { id, answer, answered: false, inputs: self.inputs.clone() }
-    }
-}
-
-/// An answer that a client is owed. Dropped before it has come, it withdraws the request.
-pub struct Owed {
-    id: RequestId,
-    answer: oneshot::Receiver<Answer>,
-    answered: bool,
-    inputs: Inputs,
-}
-
-impl Owed {
-    /// Waits for the answer.
-    pub async fn answer(&mut self) -> Answer {
-        let answer = (&mut self.answer).await;
-        self.answered = true;
-        answer.unwrap_or(Answer::Failed)
-    }
-}
-
-impl Drop for Owed {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.inputs.send(Input::Withdrawn(self.id));
-        }
-    }
-}
-
 /// A request without its final answer.
 struct Held {
     reply: oneshot::Sender<Answer>,
@@ -194,8 +77,7 @@
         let upstream = Rc::new(Upstream::new(most, limits.dial_timeout, decoded.idle_close));
         let pushed = decoded.settings.discovery == Discovery::Pushed;
         let balancer = Balancer::new(decoded.settings, config.seed).map_err(|e| e.to_string())?;
-        let (sender, inputs) = mpsc::unbounded_channel();
-        let sender = Inputs(sender);
+        let (sender, inputs) = Inputs::channel();
         let (asks, asked) = mpsc::unbounded_channel();
         let clock = Clock::new();
         let mut engine = Self {
@@ -228,7 +110,7 @@
         let known = config.known.unwrap_or(HostList { index: 0, snapshot: true, endpoints: Vec::new() });
         let listings = engine.apply(known, true);
         engine.deliver(Event::Endpoints(ListUpdate::Cached(listings)));
-        Ok((engine, Handle { inputs: sender, clock, last_id: Rc::default() }))
+        Ok((engine, Handle::new(sender, clock)))
     }
 
     /// Runs for good.
--- /dev/null
+++ b/src/bin/tinflow/handle.rs
@@ -0,0 +1,68 @@
+//! The engine as the application's side sees it. Changes with how a request is handed over and withdrawn.
+
+use crate::clock::Clock;
+use crate::messages::{Answer, Input, Inputs, Outgoing};
+use linenproxy::{Micros, NewRequest, RequestId};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// The engine as the application's side sees it.
+#[derive(Clone)]
+pub struct Handle {
+    inputs: Inputs,
+    clock: Clock,
+    last_id: Rc<Cell<RequestId>>,
+}
+
+impl Handle {
+    /// One that hands over to these inputs.
+    pub fn new(inputs: Inputs, clock: Clock) -> Self {
+        Self { inputs, clock, last_id: Rc::default() }
+    }
+
+    /// Now, on the module's clock.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// The instant of a time on the module's clock.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.clock.instant(at)
+    }
+
+    /// Hands over a request, which gets a new id.
+    pub fn submit(&self, request: NewRequest, outgoing: Outgoing) -> Owed {
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        let (sender, answer) = oneshot::channel();
+        self.inputs.send(Input::Request(NewRequest { id, ..request }, Rc::new(outgoing), sender));
+        Owed { id, answer, answered: false, inputs: self.inputs.clone() }
+    }
+}
+
+/// An answer that a client is owed. Dropped before it has come, it withdraws the request.
+pub struct Owed {
+    id: RequestId,
+    answer: oneshot::Receiver<Answer>,
+    answered: bool,
+    inputs: Inputs,
+}
+
+impl Owed {
+    /// Waits for the answer.
+    pub async fn answer(&mut self) -> Answer {
+        let answer = (&mut self.answer).await;
+        self.answered = true;
+        answer.unwrap_or(Answer::Failed)
+    }
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.inputs.send(Input::Withdrawn(self.id));
+        }
+    }
+}
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -1,19 +1,28 @@
 //! tinflow: a sidecar load balancer on real sockets. One thread; every task shares it.
 #![forbid(unsafe_code)]
 
+mod clock;
 mod config;
+mod connection;
+mod descriptors;
 mod discovery;
 mod engine;
+mod handle;
+mod hosts;
 mod inbound;
+mod messages;
 mod peers;
+mod stop;
 mod upstream;
 
 use config::Config;
+use descriptors::Limits;
 use engine::Engine;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use stop::Stop;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
@@ -28,19 +37,6 @@
 /// Time for the last answers to leave.
 const LAST_WRITES: Duration = Duration::from_millis(80);
 
-/// How far a planned stop has come.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stop {
-    /// In service.
-    No,
-    /// Connections close once what is open on them is answered.
-    Closing,
-    /// New connections are no longer accepted.
-    Closed,
-    /// What is still open is failed at once.
-    Now,
-}
-
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
@@ -75,7 +71,7 @@
         None => None,
     };
     let longest = config.longest_deadline().min(LONGEST_GRACE);
-    let limits = inbound::Limits::of(config.sockets);
+    let limits = Limits::of(config.sockets);
     let lanes = Rc::new(inbound::Lanes::of(&config));
     let (discovery, discovery_at) = watch::channel(config.discovery);
     let fixed = config.fixed.clone();
--- /dev/null
+++ b/src/bin/tinflow/messages.rs
@@ -0,0 +1,98 @@
+//! What the tasks of the sidecar tell each other, as plain data. Changes when one of them has something new to say.
+
+use crate::hosts::HostList;
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::{Method, Uri};
+use linenproxy::{AttemptNo, Load, Micros, NewRequest, Outcome, RequestId};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+
+/// Longest body, of requests and of answers.
+pub const LONGEST_BODY: usize = 64 << 10;
+/// How long the sender of a request will wait.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
+
+/// What the sockets tell the engine.
+pub enum Input {
+    /// A client's request, what goes on to endpoints, and where its answer goes.
+    Request(NewRequest, Rc<Outgoing>, oneshot::Sender<Answer>),
+    /// Its client has left, or its answer is overdue.
+    Withdrawn(RequestId),
+    /// An attempt ended.
+    Ended(Ended),
+    /// A probe of an endpoint ended.
+    Probed(usize, Outcome, Micros, Load),
+    /// Discovery answered.
+    Hosts(HostList),
+    /// A call to discovery failed, for this reason.
+    HostsFailed(String),
+    /// A datagram from a peer.
+    Peer(u32, Vec<u8>, OwnedSemaphorePermit),
+}
+
+/// The one final answer to a request.
+pub enum Answer {
+    /// An endpoint's answer.
+    Served(Served),
+    /// Trying again is harmless, best after that time.
+    Refused(Micros),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// Where inputs go. The channel has no bound of its own: bounded are the connections, attempts, calls and
+/// datagrams whose news it carries, and a client's leaving must never be lost.
+#[derive(Clone)]
+pub struct Inputs(mpsc::UnboundedSender<Input>);
+
+impl Inputs {
+    /// A way to the engine, and its end there.
+    pub fn channel() -> (Self, mpsc::UnboundedReceiver<Input>) {
+        let (sender, inputs) = mpsc::unbounded_channel();
+        (Self(sender), inputs)
+    }
+
+    /// Hands over an input.
+    pub fn send(&self, input: Input) {
+        // The engine ends only with the process.
+        let _ = self.0.send(input);
+    }
+}
+
+/// What is sent to an endpoint, the same at each attempt but for the time left.
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The headers that go on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The client has its final answer: nothing more goes out.
+    pub settled: Cell<bool>,
+}
+
+/// An endpoint's 200 answer.
+pub struct Served {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// How an attempt ended, as the engine is told.
+pub struct Ended {
+    /// The request.
+    pub request: RequestId,
+    /// Its attempt.
+    pub attempt: AttemptNo,
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The answer, where it was served.
+    pub served: Option<Served>,
+    /// The load report that came along.
+    pub load: Load,
+}
--- a/src/bin/tinflow/peers.rs
+++ b/src/bin/tinflow/peers.rs
@@ -1,4 +1,4 @@
-//! Datagrams between sidecars.
+//! Datagrams between sidecars, as the platform hands out their addresses. Changes with how they are carried.
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket as StdSocket};
--- /dev/null
+++ b/src/bin/tinflow/stop.rs
@@ -0,0 +1,14 @@
+//! How far a planned stop has come. Changes with the stages of a stop.
+
+/// The stages, in their order.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stop {
+    /// In service.
+    No,
+    /// Connections close once what is open on them is answered.
+    Closing,
+    /// New connections are no longer accepted.
+    Closed,
+    /// What is still open is failed at once.
+    Now,
+}
