Lay the ground: workspace, product configuration, command line, structured logs, metrics

Four subsystems are to come, and there was one JSON file of the platform, no arguments, bare text for logs and no figure to be read from outside. Without a product configuration: no further socket, thread, timer, file or line; without the feature: today's program, plain.rs in place of product.rs, and a plain refusal of arguments. Crates: clap, humantime and bytesize (calls and units that people know), toml with serde_path_to_error (line and key of a fault), tracing and tracing-subscriber (levels by target, JSON), metrics and metrics-exporter-prometheus (the text form), rustix (poll, to know that a write will not wait), proptest (units read as written).

--- /dev/null
+++ b/crates/common/build.rs
@@ -0,0 +1,23 @@
+//! Tells the programs which commit they were built from, where that can be known.
+
+use std::path::Path;
+use std::process::Command;
+
+fn main() {
+    println!("cargo::rerun-if-env-changed=LINENPROXY_COMMIT");
+    // The log of HEAD changes with each commit and checkout; without it there is no commit to tell either.
+    let log = Path::new("../../.git/logs/HEAD");
+    if log.exists() {
+        println!("cargo::rerun-if-changed={}", log.display());
+    }
+    let given = std::env::var("LINENPROXY_COMMIT").ok().filter(|commit| !commit.is_empty());
+    if let Some(commit) = given.or_else(asked) {
+        println!("cargo::rustc-env=LINENPROXY_COMMIT={commit}");
+    }
+}
+
+fn asked() -> Option<String> {
+    let output = Command::new("git").args(["rev-parse", "--short=12", "HEAD"]).output().ok()?;
+    let commit = String::from_utf8(output.stdout).ok()?.trim().to_owned();
+    (output.status.success() && !commit.is_empty()).then_some(commit)
+}
--- /dev/null
+++ b/crates/common/src/lib.rs
@@ -0,0 +1,12 @@
+//! What every program of the project shares: conventions of the command line, product configuration, structured
+//! logs and metrics. Knows no subsystem: sections of the configuration belong to whom they configure.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod cli;
+pub mod config;
+pub mod logging;
+pub mod metering;
+pub mod process;
+pub mod stderr;
+pub mod units;
--- /dev/null
+++ b/crates/common/src/units.rs
@@ -0,0 +1,127 @@
+//! Times and sizes as configurations write them, always with a unit. Changes with the units that are taken.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use std::fmt;
+use std::time::Duration;
+
+/// A time: `"250ms"`, `"2s"`, `"1m 30s"`. A number without a unit is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(pub Duration);
+
+/// A number of bytes: `"64KiB"`, `"1.5MiB"`, `"200B"`. A number without a unit is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Size(pub u64);
+
+impl Time {
+    /// So many milliseconds.
+    pub const fn ms(ms: u64) -> Self {
+        Self(Duration::from_millis(ms))
+    }
+}
+
+impl std::str::FromStr for Time {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let wrong = |why: String| format!("{text:?} is not a time such as \"250ms\" or \"2s\": {why}");
+        // The crate takes a bare 0; nothing here is without a unit.
+        if text.trim().bytes().all(|b| b.is_ascii_digit()) {
+            return Err(wrong("no unit".to_owned()));
+        }
+        humantime::parse_duration(text).map(Self).map_err(|e| wrong(e.to_string()))
+    }
+}
+
+impl std::str::FromStr for Size {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let wrong = |why: &str| format!("{text:?} is not a size such as \"64KiB\" or \"200B\": {why}");
+        if !text.trim_end().ends_with(['b', 'B']) {
+            return Err(wrong("no unit"));
+        }
+        text.parse::<bytesize::ByteSize>().map(|size| Self(size.as_u64())).map_err(|e| wrong(&e))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0.is_zero() {
+            true => f.write_str("0s"),
+            false => humantime::format_duration(self.0).fmt(f),
+        }
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let units = [(1u64 << 30, "GiB"), (1 << 20, "MiB"), (1 << 10, "KiB")];
+        let unit = units.iter().find(|(bytes, _)| self.0 > 0 && self.0.is_multiple_of(*bytes));
+        let (bytes, name) = unit.unwrap_or(&(1, "B"));
+        write!(f, "{}{name}", self.0 / bytes)
+    }
+}
+
+macro_rules! as_text {
+    ($name:ident, $what:literal) => {
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                struct Text;
+                impl de::Visitor<'_> for Text {
+                    type Value = $name;
+
+                    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                        f.write_str($what)
+                    }
+
+                    fn visit_str<E: de::Error>(self, text: &str) -> Result<$name, E> {
+                        text.parse().map_err(E::custom)
+                    }
+                }
+                deserializer.deserialize_str(Text)
+            }
+        }
+    };
+}
+
+as_text!(Time, "a time with its unit, such as \"250ms\"");
+as_text!(Size, "a size with its unit, such as \"64KiB\"");
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn a_unit_is_needed_and_must_be_known() {
+        for (text, ms) in [("250ms", 250), ("2s", 2000), ("1m 30s", 90_000), ("0s", 0)] {
+            assert_eq!(text.parse(), Ok(Time::ms(ms)), "{text}");
+        }
+        for (text, bytes) in [("64KiB", 65_536), ("200B", 200), ("1.5MiB", 1_572_864), ("2kB", 2000)] {
+            assert_eq!(text.parse(), Ok(Size(bytes)), "{text}");
+        }
+        for bad in ["", "250", "0", "250 parsecs", "-1s", "64KiB", "ms", "1e400s", "99999999999999999999s"] {
+            assert!(bad.parse::<Time>().is_err(), "{bad}");
+        }
+        for bad in ["", "64", "64K", "64ms", "-1B", "KiB", "NaNB", "1s"] {
+            assert!(bad.parse::<Size>().is_err(), "{bad}");
+        }
+    }
+
+    proptest! {
+        // `--check` prints what would hold: read again, it must be the same.
+        #[test]
+        fn what_is_written_reads_the_same(us in 0u64..1 << 50, bytes in 0u64..1 << 50, shift in 0u32..20) {
+            let time = Time(Duration::from_micros(us));
+            prop_assert_eq!(time.to_string().parse(), Ok(time));
+            let size = Size(bytes >> shift << shift);
+            prop_assert_eq!(size.to_string().parse(), Ok(size));
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -423,6 +423,21 @@
     Timer(u64),
 }
 
+/// What an instance tells of itself to whoever measures it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Endpoints on the list.
+    pub listed: usize,
+    /// Those of them that take requests.
+    pub ready: usize,
+    /// Those of them whose circuit is open.
+    pub circuits_open: usize,
+    /// Requests that wait for an endpoint with room.
+    pub queued: usize,
+    /// Requests given up since the start: shed, waiting, failing.
+    pub given_up: [u64; 3],
+}
+
 /// What an instance asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/bin/linenproxy-wirehost.rs
+++ b/src/bin/linenproxy-wirehost.rs
@@ -3,7 +3,17 @@
 use std::io::{BufWriter, stdin, stdout};
 use std::process::ExitCode;
 
+/// The balancer behind the simulator's wire: events on standard input, actions on standard output, until it ends.
+#[cfg(feature = "product")]
+#[derive(clap::Parser)]
+#[command(name = "linenproxy-wirehost")]
+struct Call {}
+
 fn main() -> ExitCode {
+    #[cfg(feature = "product")]
+    if let Err(exit) = linenproxy_common::cli::parse::<Call>() {
+        return exit.into();
+    }
     match linenproxy::wire::serve(stdin().lock(), BufWriter::with_capacity(1 << 16, stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -7,13 +7,18 @@
 use crate::discovery::{self, Ask};
 use crate::handle::Handle;
 use crate::hosts::{HostList, HostStatus};
+#[cfg(feature = "product")]
+use crate::messages::Survey;
 use crate::messages::{Answer, Ended, Input, Inputs, Outgoing};
 use crate::peers::Peers;
+use crate::product::Observer;
+use crate::report::say;
+use crate::spaced::{Spaced, left_out};
 use crate::upstream::Upstream;
 use linenproxy::settings::Names;
 use linenproxy::{
-    Action, AttemptEnd, AttemptNo, Balancer, Discovery, Event, ListUpdate, Listing, Load, Micros, Outcome,
-    RequestId, Status,
+    Action, AttemptEnd, AttemptNo, Balancer, ClassId, Discovery, Event, ListUpdate, Listing, Load, Micros,
+    Outcome, RequestId, Status,
 };
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -35,6 +40,8 @@
     reply: oneshot::Sender<Answer>,
     outgoing: Rc<Outgoing>,
     attempts: AttemptNo,
+    class: ClassId,
+    arrived: Micros,
 }
 
 /// An attempt that is out; the module is owed one event on its end.
@@ -61,7 +68,8 @@
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
     /// Events that follow from actions.
     events: VecDeque<Event>,
-    complained: Option<Instant>,
+    complaints: Spaced,
+    observer: Observer,
 }
 
 impl Engine {
@@ -70,6 +78,7 @@
         config: Config,
         peers: Option<Peers>,
         discovery_at: watch::Receiver<SocketAddr>,
+        observer: Observer,
     ) -> Result<(Self, Handle), String> {
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
@@ -95,7 +104,8 @@
             peers: peers.clone(),
             timers: BinaryHeap::new(),
             events: VecDeque::new(),
-            complained: None,
+            complaints: Spaced::new(COMPLAINT_SPACING),
+            observer,
         };
         spawn_local(upstream.retire_idle());
         let known = config.known.as_ref().map(|list| list.index);
@@ -149,13 +159,16 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Request(request, outgoing, reply) => {
-                self.held.insert(request.id, Held { reply, outgoing, attempts: 0 });
+                self.observer.taken(request.class, &outgoing);
+                let (class, arrived) = (request.class, self.clock.now());
+                self.held.insert(request.id, Held { reply, outgoing, attempts: 0, class, arrived });
                 self.deliver(Event::Request(request));
             }
             Input::Withdrawn(id) => {
                 // It may cross with the answer.
                 if let Some(held) = self.held.remove(&id) {
                     held.outgoing.settled.set(true);
+                    self.observer.answered(held.class, &held.outgoing, None, self.clock.now() - held.arrived);
                     self.deliver(Event::Abandoned(id));
                 }
             }
@@ -164,6 +177,7 @@
                 self.deliver(Event::ProbeEnded { endpoint, outcome, took, load });
             }
             Input::Hosts(list) => {
+                self.observer.listed();
                 let full = list.snapshot;
                 let listings = self.apply(list, full);
                 let update = if full { ListUpdate::Full(listings) } else { ListUpdate::Delta(listings) };
@@ -173,14 +187,19 @@
                 self.complain(&format!("discovery: {what}"));
                 self.deliver(Event::Endpoints(ListUpdate::Failed));
             }
+            #[cfg(feature = "product")]
+            Input::Survey(reply) => {
+                let (open, attempts) = (self.held.len(), self.out.len());
+                // Whoever asked may have left.
+                let _ = reply.send(Survey { census: self.balancer.census(), open, attempts });
+            }
             Input::Peer(from, bytes, _permit) => self.deliver(Event::PeerMessage { from, bytes }),
         }
     }
 
     fn complain(&mut self, what: &str) {
-        if self.complained.is_none_or(|last| last.elapsed() >= COMPLAINT_SPACING) {
-            self.complained = Some(Instant::now());
-            eprintln!("tinflow: {what}");
+        if let Some(others) = self.complaints.pass(Instant::now()) {
+            say!(warn, "tinflow::discovery", "{what}{}", left_out(others));
         }
     }
 
@@ -220,6 +239,8 @@
     fn ended(&mut self, ended: Ended) {
         let Ended { request, attempt, outcome, served, load } = ended;
         let Some(out) = self.out.remove(&(request, attempt)) else { return };
+        let outgoing = self.held.get(&request).map(|held| &*held.outgoing);
+        self.observer.ended(outgoing, outcome, self.clock.now() - out.sent);
         if let Some(served) = served {
             self.answer(request, Answer::Served(served));
         }
@@ -250,6 +271,12 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(held) = self.held.remove(&id) {
             held.outgoing.settled.set(true);
+            self.observer.answered(
+                held.class,
+                &held.outgoing,
+                Some(&answer),
+                self.clock.now() - held.arrived,
+            );
             // A client that has just left needs none.
             let _ = held.reply.send(answer);
         }
@@ -275,6 +302,8 @@
             Action::Cancel { request, attempt } => {
                 if let Some(out) = self.out.remove(&(request, attempt)) {
                     out.task.abort();
+                    let outgoing = self.held.get(&request).map(|held| &*held.outgoing);
+                    self.observer.ended(outgoing, Outcome::Cancelled, self.clock.now() - out.sent);
                     let end = self.end((request, attempt), &out, Outcome::Cancelled, Load::default());
                     self.events.push_back(end);
                 }
@@ -298,7 +327,7 @@
                     peers.tell(to, &bytes);
                 }
             }
-            Action::Log(text) => eprintln!("tinflow: {text}"),
+            Action::Log(text) => say!(info, "tinflow::balancer", "{text}"),
         }
     }
 
@@ -307,6 +336,7 @@
         let Some(held) = self.held.get_mut(&request) else { return };
         let attempt = held.attempts;
         held.attempts += 1;
+        self.observer.sent(&held.outgoing, attempt, self.endpoints.name(endpoint));
         let attempting = Rc::clone(&self.upstream).attempt(
             (request, attempt),
             self.upstream.endpoint(endpoint),
--- a/src/bin/tinflow/handle.rs
+++ b/src/bin/tinflow/handle.rs
@@ -22,6 +22,11 @@
         Self { inputs, clock, last_id: Rc::default() }
     }
 
+    /// Where its inputs go.
+    pub fn inputs(&self) -> &Inputs {
+        &self.inputs
+    }
+
     /// Now, on the module's clock.
     pub fn now(&self) -> Micros {
         self.clock.now()
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -4,7 +4,9 @@
 use crate::config::Config;
 use crate::descriptors::Limits;
 use crate::handle::Handle;
-use crate::messages::{Answer, LONGEST_BODY, Outgoing, Served, TIME_LEFT};
+use crate::messages::{Answer, CORRELATION_ID, LONGEST_BODY, Outgoing, Served, TIME_LEFT};
+use crate::report::say;
+use crate::spaced::{Spaced, left_out};
 use crate::stop::Stop;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -47,7 +49,6 @@
 /// No client waits longer than this, whatever it says.
 const LONGEST_WAIT: Micros = 3_600_000_000;
 
-const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
@@ -108,7 +109,7 @@
     };
     let mut closed = stop.clone();
     let mut closed = pin!(async move { closed.wait_for(|s| *s >= Stop::Closed).await.map(drop) });
-    let mut last_failure = None;
+    let mut failures = Spaced::new(COMPLAINT_SPACING);
     loop {
         let accepted = tokio::select! {
             biased;
@@ -118,9 +119,8 @@
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(e) => {
-                if last_failure.is_none_or(|at: Instant| at.elapsed() > COMPLAINT_SPACING) {
-                    last_failure = Some(Instant::now());
-                    eprintln!("tinflow: cannot accept: {e}");
+                if let Some(others) = failures.pass(Instant::now()) {
+                    say!(warn, "tinflow::inbound", "cannot accept: {e}{}", left_out(others));
                 }
                 sleep(ACCEPT_PAUSE).await;
                 continue;
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -11,13 +11,21 @@
 mod hosts;
 mod inbound;
 mod messages;
+#[cfg(feature = "product")]
+mod observer;
 mod peers;
+#[cfg_attr(not(feature = "product"), path = "plain.rs")]
+mod product;
+mod report;
+mod spaced;
 mod stop;
 mod upstream;
 
 use config::Config;
 use descriptors::Limits;
 use engine::Engine;
+use product::Product;
+use report::say;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -38,35 +46,44 @@
 const LAST_WRITES: Duration = Duration::from_millis(80);
 
 fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
-            eprintln!("tinflow: {what}");
-            ExitCode::FAILURE
-        }
+    let mut product = match Product::begin() {
+        Ok(product) => product,
+        Err(code) => return code,
+    };
+    let ended = start(&mut product);
+    if let Err((what, _)) = &ended {
+        say!(error, "tinflow", "{what}");
     }
+    product.end();
+    ended.map_or_else(|(_, code)| code, |()| ExitCode::SUCCESS)
 }
 
-fn start() -> Result<(), String> {
-    let config = Config::from_env()?;
+/// Why the process ends, in one line, and the code that it ends with.
+type Failure = (String, ExitCode);
+
+fn start(product: &mut Product) -> Result<(), Failure> {
+    let failed = |what| (what, ExitCode::FAILURE);
+    let config = Config::from_env().map_err(failed)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(|e| format!("cannot start the runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config))
+        .map_err(|e| failed(format!("cannot start the runtime: {e}")))?;
+    LocalSet::new().block_on(&runtime, serve(config, product))
 }
 
-async fn serve(config: Config) -> Result<(), String> {
-    let listener =
-        inbound::bind(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+async fn serve(config: Config, product: &mut Product) -> Result<(), Failure> {
+    let failed = |what| (what, ExitCode::FAILURE);
+    let listener = inbound::bind(config.listen)
+        .map_err(|e| failed(format!("cannot listen on {}: {e}", config.listen)))?;
     // Awaited before anything else: unawaited, this one ends the process.
-    let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
-    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| failed(format!("cannot await SIGHUP: {e}")))?;
+    let mut term =
+        signal(SignalKind::terminate()).map_err(|e| failed(format!("cannot await SIGTERM: {e}")))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| failed(format!("cannot await SIGINT: {e}")))?;
     let peers = match config.peer_listen {
         Some(at) => Some(
             peers::Peers::bind(at, &config.peers, config.peers_all)
-                .map_err(|e| format!("cannot bind {at}: {e}"))?,
+                .map_err(|e| failed(format!("cannot bind {at}: {e}")))?,
         ),
         None => None,
     };
@@ -75,7 +92,9 @@
     let lanes = Rc::new(inbound::Lanes::of(&config));
     let (discovery, discovery_at) = watch::channel(config.discovery);
     let fixed = config.fixed.clone();
-    let (engine, handle) = Engine::new(config, peers, discovery_at)?;
+    let observer = product.observer(&config.decoded.classes);
+    let (engine, handle) = Engine::new(config, peers, discovery_at, observer.clone()).map_err(failed)?;
+    product.host(&observer, handle.inputs())?;
     let (stop, stopped) = watch::channel(Stop::No);
     let mut running = spawn_local(engine.run());
     let accepting = spawn_local(inbound::accept(listener, limits, lanes, handle, stopped));
@@ -84,13 +103,16 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            _ = hup.recv() => reload(&discovery, &fixed),
+            _ = hup.recv() => {
+                reload(&discovery, &fixed);
+                product.reload();
+            }
             // Without its decisions a sidecar only fails requests: better to end, and be started anew.
-            _ = &mut running => return Err("the engine has failed".to_owned()),
+            _ = &mut running => return Err(failed("the engine has failed".to_owned())),
         }
     }
     let told = tokio::time::Instant::now();
-    eprintln!("tinflow: told to stop");
+    say!(info, "tinflow", "told to stop");
     stop.send_replace(Stop::Closing);
     sleep(ACCEPT_AFTER_TERM).await;
     stop.send_replace(Stop::Closed);
@@ -115,9 +137,9 @@
     match Config::reload() {
         Ok(config) => {
             let rest = if config.fixed == *fixed { "" } else { ", other changes wait for a restart" };
-            eprintln!("tinflow: configuration reloaded: discovery at {}{rest}", config.discovery);
+            say!(info, "tinflow", "configuration reloaded: discovery at {}{rest}", config.discovery);
             discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
         }
-        Err(what) => eprintln!("tinflow: reload failed, the old configuration stays: {what}"),
+        Err(what) => say!(warn, "tinflow", "reload failed, the old configuration stays: {what}"),
     }
 }
--- a/src/bin/tinflow/messages.rs
+++ b/src/bin/tinflow/messages.rs
@@ -11,6 +11,8 @@
 
 /// Longest body, of requests and of answers.
 pub const LONGEST_BODY: usize = 64 << 10;
+/// What its client calls a request.
+pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 /// How long the sender of a request will wait.
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 
@@ -28,6 +30,9 @@
     Hosts(HostList),
     /// A call to discovery failed, for this reason.
     HostsFailed(String),
+    /// Somebody measures.
+    #[cfg(feature = "product")]
+    Survey(oneshot::Sender<Survey>),
     /// A datagram from a peer.
     Peer(u32, Vec<u8>, OwnedSemaphorePermit),
 }
@@ -54,6 +59,14 @@
         (Self(sender), inputs)
     }
 
+    /// What the engine has in hand just now; `None` once it has ended.
+    #[cfg(feature = "product")]
+    pub async fn survey(&self) -> Option<Survey> {
+        let (reply, survey) = oneshot::channel();
+        self.send(Input::Survey(reply));
+        survey.await.ok()
+    }
+
     /// Hands over an input.
     pub fn send(&self, input: Input) {
         // The engine ends only with the process.
@@ -61,6 +74,17 @@
     }
 }
 
+/// What the engine has in hand.
+#[cfg(feature = "product")]
+pub struct Survey {
+    /// What the module tells.
+    pub census: linenproxy::Census,
+    /// Requests without their final answer.
+    pub open: usize,
+    /// Attempts that are out.
+    pub attempts: usize,
+}
+
 /// What is sent to an endpoint, the same at each attempt but for the time left.
 pub struct Outgoing {
     /// The method.
@@ -75,6 +99,14 @@
     pub settled: Cell<bool>,
 }
 
+#[cfg(feature = "product")]
+impl Outgoing {
+    /// The correlation id that its client gave it.
+    pub fn id(&self) -> &str {
+        self.headers.get(CORRELATION_ID).and_then(|id| id.to_str().ok()).unwrap_or("")
+    }
+}
+
 /// An endpoint's 200 answer.
 pub struct Served {
     /// Its headers.
--- /dev/null
+++ b/src/bin/tinflow/plain.rs
@@ -0,0 +1,56 @@
+//! What stands in the place of `product.rs` and `observer.rs` where the product parts are not built in: nothing is
+//! configured, hosted or counted. Changes with the face of those two.
+
+use crate::messages::{Answer, Inputs, Outgoing};
+use linenproxy::{AttemptNo, Micros, Outcome};
+use std::process::ExitCode;
+
+/// No product parts.
+pub struct Product;
+
+impl Product {
+    /// Goes on, unless something is asked for that is not there.
+    pub fn begin() -> Result<Self, ExitCode> {
+        let configured = std::env::var_os("LINENPROXY_CONFIG").is_some_and(|file| !file.is_empty());
+        if configured || std::env::args_os().len() > 1 {
+            crate::report::line(format_args!(
+                "this build takes neither arguments nor a product configuration: build it with --features product"
+            ));
+            return Err(ExitCode::from(64));
+        }
+        Ok(Self)
+    }
+
+    /// Counts nothing.
+    pub fn observer(&self, _: &[String]) -> Observer {
+        Observer
+    }
+
+    /// Hosts nothing.
+    pub fn host(&self, _: &Observer, _: &Inputs) -> Result<(), (String, ExitCode)> {
+        Ok(())
+    }
+
+    /// Has nothing to take in.
+    pub fn reload(&mut self) {}
+
+    /// Holds nothing back.
+    pub fn end(&self) {}
+}
+
+/// Sees nothing.
+#[derive(Clone)]
+pub struct Observer;
+
+impl Observer {
+    /// A request was taken.
+    pub fn taken(&self, _: usize, _: &Outgoing) {}
+    /// An attempt of it goes out.
+    pub fn sent(&self, _: &Outgoing, _: AttemptNo, _: &str) {}
+    /// An attempt ended.
+    pub fn ended(&self, _: Option<&Outgoing>, _: Outcome, _: Micros) {}
+    /// A request got its answer, or its client has left.
+    pub fn answered(&self, _: usize, _: &Outgoing, _: Option<&Answer>, _: Micros) {}
+    /// Discovery answered.
+    pub fn listed(&self) {}
+}
--- /dev/null
+++ b/src/bin/tinflow/product.rs
@@ -0,0 +1,176 @@
+//! The product parts of the sidecar: its command line, its product configuration, and what they switch on. Changes
+//! with what can be configured. Without a product configuration nothing is hosted and nothing is counted.
+
+use crate::config::Config;
+use crate::messages::Inputs;
+pub use crate::observer::Observer;
+use crate::report::say;
+use clap::Parser;
+use linenproxy_common::cli::{self, Exit};
+use linenproxy_common::config::{self, Configuration, Contradiction};
+use linenproxy_common::logging::{self, Log, LogSection};
+use linenproxy_common::metering::{self, Bounds, Figures, MetricsSection, Page};
+use serde::{Deserialize, Serialize};
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// A sidecar load balancer. The platform's LB_CONFIG, LB_LISTEN and LB_DISCOVERY say where it stands and what it
+/// balances; without a product configuration it does nothing else. SIGHUP makes it read both again, SIGTERM stops
+/// it once what it has taken is answered.
+#[derive(Parser)]
+#[command(name = "tinflow")]
+struct Call {
+    /// The product configuration: a TOML file, see docs/configuration.md.
+    #[arg(long, value_name = "FILE", env = "LINENPROXY_CONFIG")]
+    config: Option<PathBuf>,
+    /// Read the product configuration and, where LB_CONFIG is set, the platform's; print what would hold, defaults
+    /// included, and exit.
+    #[arg(long)]
+    check: bool,
+}
+
+/// The product configuration, section by section.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Sections {
+    log: LogSection,
+    metrics: MetricsSection,
+}
+
+impl Configuration for Sections {
+    fn check(&self) -> Result<(), Contradiction> {
+        self.log.check()?;
+        self.metrics.check()
+    }
+}
+
+impl Sections {
+    /// Takes over from another configuration what may change while the sidecar runs.
+    fn follow(&mut self, new: Self) {
+        (self.log.level, self.log.targets) = (new.log.level, new.log.targets);
+        (self.metrics.readers, self.metrics.timeout) = (new.metrics.readers, new.metrics.timeout);
+    }
+}
+
+/// The product parts of this process.
+pub struct Product {
+    file: Option<PathBuf>,
+    /// What holds now.
+    holds: Sections,
+    log: Rc<Log>,
+    bounds: Bounds,
+}
+
+impl Product {
+    /// Reads the command line and the product configuration, and starts the log. Where the process is not to go
+    /// on, the code to end with comes back; what there was to say has been said.
+    pub fn begin() -> Result<Self, ExitCode> {
+        let call: Call = cli::parse()?;
+        let file = call.config.filter(|file| !file.as_os_str().is_empty());
+        let plain = |what: &dyn std::fmt::Display, exit: Exit| {
+            let _ = writeln!(std::io::stderr(), "tinflow: {what}");
+            ExitCode::from(exit)
+        };
+        let holds: Sections = match &file {
+            Some(file) => config::load(file).map_err(|problem| plain(&problem, Exit::Config))?,
+            None => Sections::default(),
+        };
+        if call.check {
+            return Err(match check(&holds) {
+                Ok(()) => Exit::Done.into(),
+                Err(what) => plain(&what, Exit::Config),
+            });
+        }
+        let log = Rc::new(logging::start(&holds.log, "tinflow"));
+        Ok(Self { file, bounds: Bounds::of(&holds.metrics), holds, log })
+    }
+
+    /// What sees the engine's doings, by these classes.
+    pub fn observer(&self, classes: &[String]) -> Observer {
+        match self.holds.metrics.enabled {
+            true => Observer::counting(Rc::new(Figures::new()), classes),
+            false => Observer::blind(),
+        }
+    }
+
+    /// Starts what is configured.
+    pub fn host(&self, observer: &Observer, inputs: &Inputs) -> Result<(), (String, ExitCode)> {
+        let Some(figures) = observer.figures() else { return Ok(()) };
+        let at = self.holds.metrics.address;
+        let listener = std::net::TcpListener::bind(at)
+            .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+            .and_then(TcpListener::from_std)
+            .map_err(|e| (format!("cannot listen on metrics.address {at}: {e}"), Exit::Unavailable.into()))?;
+        // Where the system was to pick the port, nobody could know it otherwise.
+        if let Some(at) = listener.local_addr().ok().filter(|_| at.port() == 0) {
+            say!(info, "tinflow", "metrics are read at {at}");
+        }
+        spawn_local(Rc::clone(&figures).upkeep());
+        let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&self.log));
+        let pages = move |path: String| {
+            let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&log));
+            async move {
+                if path != "/metrics" {
+                    return None;
+                }
+                let survey = inputs.survey().await?;
+                observer.page(&survey, log.dropped()).map(Page::metrics)
+            }
+        };
+        spawn_local(metering::serve(listener, self.bounds.clone(), pages));
+        Ok(())
+    }
+
+    /// SIGHUP came: takes in what may change, all of it or nothing, and names what waits for a restart.
+    pub fn reload(&mut self) {
+        let Some(file) = &self.file else { return };
+        let new: Sections = match config::load(file) {
+            Ok(new) => new,
+            Err(problem) => {
+                say!(warn, "tinflow", "reload failed, the old product configuration stays: {problem}");
+                return;
+            }
+        };
+        let before = self.holds.clone();
+        self.holds.follow(new.clone());
+        self.log.set_levels(&self.holds.log);
+        self.bounds.set(&self.holds.metrics);
+        let list = |keys: Vec<String>| if keys.is_empty() { "nothing".to_owned() } else { keys.join(", ") };
+        let waiting = config::changed(&self.holds, &new);
+        let rest =
+            if waiting.is_empty() { String::new() } else { format!("; {} for a restart", wait(&waiting)) };
+        let taken = list(config::changed(&before, &self.holds));
+        say!(info, "tinflow", "product configuration reloaded: {taken} changed{rest}");
+    }
+
+    /// The process ends: writes what still waits.
+    pub fn end(&self) {
+        self.log.flush();
+    }
+}
+
+fn wait(keys: &[String]) -> String {
+    format!("{} {}", keys.join(", "), if keys.len() == 1 { "waits" } else { "wait" })
+}
+
+/// Prints what would hold.
+fn check(holds: &Sections) -> Result<(), String> {
+    let mut text = format!("# The product configuration that would hold.\n{}", config::written(holds));
+    if std::env::var_os("LB_CONFIG").is_some() {
+        let platform = Config::from_env()?;
+        text += &format!(
+            "\n# The platform's configuration can be used: listen {}, discovery {}, {} classes, {} descriptors.\n",
+            platform.listen,
+            platform.discovery,
+            platform.decoded.classes.len(),
+            platform.sockets
+        );
+    }
+    // A closed standard output is no fault of the configuration.
+    let _ = std::io::stdout().write_all(text.as_bytes());
+    Ok(())
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -298,6 +298,8 @@
     last: Option<Micros>,
     accounted: Option<Micros>,
     given_up: [u64; 3],
+    /// Since the start.
+    pub given_up_in_all: [u64; 3],
 }
 
 impl Log {
@@ -312,6 +314,7 @@
     /// Counts a request given up; says now and then how many there were.
     pub fn gave_up(&mut self, now: Micros, why: GaveUp, out: &mut Vec<Action>) {
         self.given_up[why as usize] += 1;
+        self.given_up_in_all[why as usize] += 1;
         if self.accounted.is_none_or(|last| now - last >= ACCOUNT_SPACING) {
             self.accounted = Some(now);
             let [shed, waiting, failing] = std::mem::take(&mut self.given_up);
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -1,5 +1,7 @@
 //! Small stub peers for a sidecar on loopback sockets: endpoints, discovery, and the application.
 
+#![allow(dead_code, reason = "each test binary uses its part")]
+
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -301,19 +303,31 @@
         endpoints: &[(&str, &Endpoint)],
         granted: u32,
         alter: impl Fn(String) -> String,
+    ) -> Self {
+        Self::start_adapted(discovery, endpoints, granted, alter, |_| {})
+    }
+
+    /// The same with a process that is adapted first: its arguments, variables and streams.
+    pub fn start_adapted(
+        discovery: &Discovery,
+        endpoints: &[(&str, &Endpoint)],
+        granted: u32,
+        alter: impl Fn(String) -> String,
+        adapt: impl FnOnce(&mut Command),
     ) -> Self {
         let known: Vec<_> = endpoints.iter().map(|(name, e)| (*name, e.address, "active")).collect();
         let address = unused_address();
         let config = config(address, discovery.address, &list(1, true, &known));
         let config = config_file(&alter(config));
-        let process = Command::new("/bin/sh")
-            .args(["-c", &format!("ulimit -n {granted}; exec \"$0\""), env!("CARGO_BIN_EXE_tinflow")])
+        let mut command = Command::new("/bin/sh");
+        command
+            .args(["-c", &format!("ulimit -n {granted}; exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_tinflow")])
             .env("LB_CONFIG", &config)
             .env("LB_LISTEN", address.to_string())
             .env("LB_DISCOVERY", discovery.address.to_string())
-            .stdin(Stdio::null())
-            .spawn()
-            .expect("the sidecar starts");
+            .stdin(Stdio::null());
+        adapt(&mut command);
+        let process = command.spawn().expect("the sidecar starts");
         let sidecar = Self { address, process, config };
         let up = || {
             let mut stream = TcpStream::connect(address).ok()?;
@@ -346,7 +360,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let id = self.process.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
