Go on serving when nobody reads standard error any more

Cause: report.rs wrote lines by eprintln!, which panics when standard error is a pipe whose reader has ended. Any line of the main task (a reload, say) so ended the sidecar, with all its requests. Seen with a probe: standard error piped and its reader dropped, then SIGHUP on an unreadable file; the process is gone and connections are refused. Now such a line is lost.

--- a/src/bin/tinflow/report.rs
+++ b/src/bin/tinflow/report.rs
@@ -1,9 +1,10 @@
 //! Lines for the people on call. Changes with how a line leaves the program.
 
-/// Writes one line to standard error.
+/// Writes one line to standard error. One that is closed must not end a sidecar that serves.
 #[cfg(not(feature = "product"))]
 pub fn line(what: std::fmt::Arguments<'_>) {
-    eprintln!("tinflow: {what}");
+    use std::io::Write;
+    let _ = writeln!(std::io::stderr(), "tinflow: {what}");
 }
 
 /// Writes a line: `say!(info, "target", "words {}", value)`. Level and target count in builds with the product parts.
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -415,3 +415,29 @@
         assert!(said.starts_with("tinflow: ") && said.lines().count() == 1, "{said}");
     }
 }
+
+// Who reads the log may end; a sidecar that serves must not end with it.
+#[test]
+fn a_standard_error_that_nobody_reads_any_more_does_not_end_it() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let mut sidecar = Sidecar::start_adapted(
+        &discovery,
+        &[("s-1", &endpoint)],
+        1024,
+        |c| c,
+        |command| {
+            command.stderr(Stdio::piped());
+        },
+    );
+    drop(sidecar.process.stderr.take().expect("it is a pipe"));
+    // Writes a line, as the file cannot be read.
+    sidecar.reconfigure(|_| "{".to_owned());
+    // The reload that is followed shows that the line before it was written in vain.
+    let other = Discovery::start();
+    other.publish(1, list(1, true, &[("s-1", endpoint.address, "active")]));
+    let to = config(sidecar.address, other.address, "null");
+    sidecar.reconfigure(|_| to.clone());
+    await_that("discovery is followed", || !other.calls().is_empty() || sidecar.process.id() == 0);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+}
