--- a/src/state.rs
+++ b/src/state.rs
@@ -296,6 +296,7 @@
 #[derive(Default)]
 pub struct Log {
     last: Option<Micros>,
+    left_out: u64,
     accounted: Option<Micros>,
     given_up: [u64; 3],
     /// Since the start.
@@ -303,12 +304,18 @@
 }
 
 impl Log {
-    /// Writes a line, if it is time for one.
+    /// Writes a line, if it is time for one, and how many were left out since the last.
     pub fn say(&mut self, now: Micros, text: String, out: &mut Vec<Action>) {
-        if self.last.is_none_or(|last| now - last >= 1_000_000) {
-            self.last = Some(now);
-            out.push(Action::Log(text));
+        if self.last.is_some_and(|last| now - last < 1_000_000) {
+            self.left_out += 1;
+            return;
         }
+        self.last = Some(now);
+        let others = match std::mem::take(&mut self.left_out) {
+            0 => String::new(),
+            others => format!(" ({others} like it left out)"),
+        };
+        out.push(Action::Log(text + &others));
     }
 
     /// Counts a request given up; says now and then how many there were.
