Build the lab: stand-ins, faults between real sidecars, auditors, experiments, simulated time

The servers' core is the same in simulated time. Each auditor has a faulty sidecar of a few lines that it finds, and a plain one that none complains of; a short play of three real sidecars with a kill and a cut is judged by auditors alone. Crates: plotters (plots), hdrhistogram (latencies), tempfile (folders that go), rustix (signals by process id), hyper and tokio as in the sidecar.

--- /dev/null
+++ b/crates/lab/src/apps.rs
@@ -0,0 +1,261 @@
+//! Stand-ins for applications: each sends its requests to its sidecar when they are due, whatever became of those
+//! before, and tries again by itself. Changes with how clients behave (PROTOCOL, BRIEF).
+
+use crate::Us;
+use crate::draw::{Arrival, Plan};
+use crate::net::Clock;
+use crate::record::{Record, Seen, Try};
+use crate::servers::{Servers, arrival_of, try_number};
+use crate::site::{CLASSES, CLIENT_RETRIES, Repeat};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// How long a client keeps a connection that it does not use: less than a sidecar keeps it.
+const IDLE: Duration = Duration::from_secs(2);
+/// Bodies of requests that have one.
+const BODY: &str = "{\"entry\":\"0000000000000000000000000000000000000000000000000000000000000000\"}";
+/// Longest hold-off that clients honour, as the settings state it.
+const LONGEST_HOLD_OFF: Us = 2_000_000;
+
+/// All applications.
+pub struct Apps {
+    /// What they send.
+    pub plan: Arc<Plan>,
+    /// When.
+    pub clock: Clock,
+    /// Where it is noted.
+    pub record: Record,
+    /// Where each finds its sidecar.
+    pub sidecars: Vec<SocketAddr>,
+    /// Who knows whether a request was passed on.
+    pub servers: Arc<Servers>,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Idle connections of one application, the most recently used last.
+type Pool = Arc<Mutex<Vec<(Sender, Instant)>>>;
+
+/// How a try ended.
+enum End {
+    Answered { status: u16, genuine: bool, hold_off: Option<Us> },
+    Lost,
+    GaveUp,
+}
+
+impl Apps {
+    /// Sends everything, and waits until all of it has ended. Comes back with how late requests left, one in a
+    /// hundred, in microseconds.
+    pub async fn run(self: Arc<Self>, progress: impl Fn(usize)) -> Us {
+        let pools: Vec<Pool> = self.sidecars.iter().map(|_| Pool::default()).collect();
+        let mut lateness = Histogram::<u64>::new(3).ok();
+        let mut tasks = JoinSet::new();
+        for (number, arrival) in self.plan.arrivals.iter().enumerate() {
+            self.clock.until(arrival.at).await;
+            if let Some(lateness) = &mut lateness {
+                lateness.saturating_record(self.clock.now().saturating_sub(arrival.at).max(1));
+            }
+            let (this, pool) = (Arc::clone(&self), Arc::clone(&pools[arrival.sidecar]));
+            tasks.spawn(async move { this.request(number, &this.plan.arrivals[number], pool).await });
+            while tasks.try_join_next().is_some() {}
+            progress(number + 1);
+        }
+        while tasks.join_next().await.is_some() {}
+        lateness.map_or(0, |l| l.value_at_percentile(99.0))
+    }
+
+    /// One request with its client's retries.
+    async fn request(&self, number: usize, arrival: &Arrival, pool: Pool) {
+        for attempt in 0..=CLIENT_RETRIES {
+            let request = try_number(number, attempt);
+            let at = self.sidecars[arrival.sidecar];
+            let until = Instant::now() + Duration::from_micros(arrival.patience);
+            let Some(end) = self.attempt(request, number, arrival, at, &pool, until, attempt > 0).await
+            else {
+                self.record.note(self.clock.now(), Seen::Unreached { sidecar: arrival.sidecar });
+                if !self.again(arrival, attempt, None).await {
+                    return;
+                }
+                continue;
+            };
+            let now = self.clock.now();
+            let (seen, hold_off, over) = match end {
+                End::Answered { status, genuine, hold_off } => {
+                    (Seen::Answered { request, status, genuine }, hold_off, status == 200)
+                }
+                End::Lost => (Seen::Lost { request }, None, false),
+                End::GaveUp => (Seen::GaveUp { request }, None, false),
+            };
+            // What may have run is not for a client to repeat either.
+            let harmless = match CLASSES[arrival.class].repeat {
+                Repeat::Never => matches!(seen, Seen::Answered { status: 429 | 503, .. }),
+                Repeat::Safe | Repeat::Keyed => true,
+            };
+            self.record.note(now, seen);
+            if over || !harmless || !self.again(arrival, attempt, hold_off).await {
+                return;
+            }
+        }
+    }
+
+    /// Waits before a further try; whether there is to be one.
+    async fn again(&self, arrival: &Arrival, attempt: u32, hold_off: Option<Us>) -> bool {
+        let Some(wait) = arrival.waits.get(attempt as usize) else { return false };
+        let wait = hold_off.map_or(*wait, |told| told.min(LONGEST_HOLD_OFF).max(*wait));
+        let left = (arrival.at + CLASSES[arrival.class].deadline).saturating_sub(self.clock.now());
+        if wait >= left {
+            return false;
+        }
+        sleep(Duration::from_micros(wait)).await;
+        true
+    }
+
+    /// One try; `None` where no sidecar took it.
+    #[allow(clippy::too_many_arguments, reason = "all that one try is")]
+    async fn attempt(
+        &self,
+        request: Try,
+        number: usize,
+        arrival: &Arrival,
+        at: SocketAddr,
+        pool: &Pool,
+        until: Instant,
+        repeat: bool,
+    ) -> Option<End> {
+        let taken = || {
+            let until = self.clock.now().saturating_add(arrival.patience);
+            Seen::Taken { request, arrival: number, sidecar: arrival.sidecar, until }
+        };
+        let mut noted = false;
+        // A kept connection may be closed by the sidecar in the moment it is used again: the client then sends the
+        // request once more, on a new one.
+        if let Some(sender) = idle(pool) {
+            noted = true;
+            self.record.note(self.clock.now(), taken());
+            match timeout_at(until, exchange(sender, self.message(request, arrival, repeat, until)?, request))
+                .await
+            {
+                Err(_) => return Some(End::GaveUp),
+                Ok(Ok((end, sender))) => {
+                    keep(pool, sender);
+                    return Some(end);
+                }
+                // One that was passed on had been read.
+                Ok(Err(Failure::Unread)) if !self.servers.reached(request) => {}
+                Ok(Err(_)) => return Some(End::Lost),
+            }
+        }
+        let opened = timeout_at(until, open(at)).await;
+        let Ok(Ok(sender)) = opened else {
+            return if noted { Some(End::Lost) } else { None };
+        };
+        if !noted {
+            self.record.note(self.clock.now(), taken());
+        }
+        match timeout_at(until, exchange(sender, self.message(request, arrival, repeat, until)?, request))
+            .await
+        {
+            Err(_) => Some(End::GaveUp),
+            Ok(Ok((end, sender))) => {
+                keep(pool, sender);
+                Some(end)
+            }
+            Ok(Err(_)) => Some(End::Lost),
+        }
+    }
+
+    fn message(
+        &self,
+        request: Try,
+        arrival: &Arrival,
+        repeat: bool,
+        until: Instant,
+    ) -> Option<Request<Full<Bytes>>> {
+        let class = &CLASSES[arrival.class];
+        let left = until.saturating_duration_since(Instant::now()).as_micros();
+        let mut builder = Request::builder()
+            .uri("/api")
+            .header("host", "api.internal")
+            .header("x-correlation-id", format!("{request:016x}"))
+            .header("x-service-class", class.name)
+            .header("cookie", format!("obj={:016x}", arrival.key))
+            .header("x-time-left", format!("{left}u"));
+        if repeat {
+            builder = builder.header("x-repeat", "1");
+        }
+        let (method, body) = match class.repeat {
+            Repeat::Safe => (Method::GET, ""),
+            Repeat::Keyed => {
+                // The same for each try of one request: it is what the servers know it by.
+                let key = try_number(arrival_of(request), 15);
+                builder = builder.header("idempotency-key", format!("{key:032x}"));
+                (Method::POST, BODY)
+            }
+            Repeat::Never => (Method::POST, BODY),
+        };
+        builder.method(method).body(Full::new(Bytes::from_static(body.as_bytes()))).ok()
+    }
+}
+
+fn idle(pool: &Pool) -> Option<Sender> {
+    let mut pool = pool.lock().unwrap_or_else(PoisonError::into_inner);
+    pool.retain(|(sender, since)| since.elapsed() < IDLE && sender.is_ready());
+    pool.pop().map(|(sender, _)| sender)
+}
+
+fn keep(pool: &Pool, sender: Option<Sender>) {
+    if let Some(sender) = sender {
+        pool.lock().unwrap_or_else(PoisonError::into_inner).push((sender, Instant::now()));
+    }
+}
+
+async fn open(at: SocketAddr) -> std::io::Result<Sender> {
+    let stream = TcpStream::connect(at).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+/// Why no whole answer came.
+enum Failure {
+    /// The connection had been closed before the request was read.
+    Unread,
+    /// It broke after that.
+    Broken,
+}
+
+async fn exchange(
+    mut sender: Sender,
+    message: Request<Full<Bytes>>,
+    request: Try,
+) -> Result<(End, Option<Sender>), Failure> {
+    let response = sender.send_request(message).await.map_err(|e| {
+        // Nothing at all came back: the sidecar's closing crossed with the request.
+        if e.is_canceled() || e.is_closed() || e.is_incomplete_message() {
+            Failure::Unread
+        } else {
+            Failure::Broken
+        }
+    })?;
+    let (status, hold_off) = (response.status().as_u16(), hold_off(&response));
+    let body = response.into_body().collect().await.map_err(|_| Failure::Broken)?.to_bytes();
+    let genuine = status != 200 || body.starts_with(format!("{{\"done\":\"{request:016x}\"").as_bytes());
+    let sender = sender.ready().await.is_ok().then_some(sender);
+    Ok((End::Answered { status, genuine, hold_off }, sender))
+}
+
+fn hold_off<B>(response: &Response<B>) -> Option<Us> {
+    let seconds: f64 = response.headers().get("retry-after")?.to_str().ok()?.parse().ok()?;
+    (0.0..1e6).contains(&seconds).then_some((seconds * 1e6) as Us)
+}
--- /dev/null
+++ b/crates/lab/src/comparison.rs
@@ -0,0 +1,312 @@
+//! Plays the variants of an experiment on the same requests and faults, over several seeds, and holds them against
+//! each other and against the experiment's bounds. Changes with how plays are paired and judged.
+
+use crate::audit::Finding;
+use crate::draw::draw;
+use crate::experiment::{Experiment, MeasureBound};
+use crate::outcome::Measure;
+use crate::play::{Launch, PlayError, Progress, play};
+use crate::record::Record;
+use crate::sim::simulate;
+use crate::statistics::{Interval, interval, mean};
+use crate::tally::{BIN, PERCENTILES, Tally};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// How an experiment went: the content of `result.json`. docs/lab.md describes each field.
+#[derive(Clone, Debug, Serialize)]
+pub struct Comparison {
+    /// Version of this form.
+    pub schema: u32,
+    /// The experiment as it was played, defaults included.
+    pub experiment: Experiment,
+    /// The first play's seed; each further one has the next number.
+    pub seed: u64,
+    /// Plays that count.
+    pub plays: usize,
+    /// Plays that were void as the machine was too slow, and were played again.
+    pub voided: usize,
+    /// Played in simulated time.
+    pub simulated: bool,
+    /// Each variant by itself.
+    pub variants: Vec<OfVariant>,
+    /// Each further variant against the first, paired by play.
+    pub differences: Vec<Difference>,
+    /// The experiment's bounds.
+    pub bounds: Vec<Judged>,
+    /// No rule was broken and every bound holds.
+    pub passed: bool,
+}
+
+/// One variant.
+#[derive(Clone, Debug, Serialize)]
+pub struct OfVariant {
+    /// Its name.
+    pub name: String,
+    /// Each measure: its mean and its value in each play.
+    pub measures: BTreeMap<Measure, Values>,
+    /// Broken rules, with the number of the play.
+    pub findings: Vec<(usize, Finding)>,
+    /// Curves, as means over the plays.
+    pub curves: Curves,
+}
+
+/// A measure over the plays.
+#[derive(Clone, Debug, Serialize)]
+pub struct Values {
+    /// Their mean.
+    pub mean: f64,
+    /// One for each play.
+    pub plays: Vec<f64>,
+}
+
+/// What is drawn.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Curves {
+    /// Width of a place in the first two, in seconds.
+    pub bin_s: f64,
+    /// Worth served over worth asked.
+    pub served: Vec<f64>,
+    /// Attempts.
+    pub attempts: Vec<f64>,
+    /// The percentiles of the next.
+    pub percentiles: Vec<f64>,
+    /// Times in milliseconds.
+    pub latency_ms: Vec<f64>,
+    /// Attempts at each server, of the first play.
+    pub by_server: Vec<u64>,
+}
+
+/// A measure of a variant less that of the first one.
+#[derive(Clone, Debug, Serialize)]
+pub struct Difference {
+    /// The variant.
+    pub variant: String,
+    /// The measure.
+    pub measure: Measure,
+    /// The mean of the differences play by play, and the interval that holds the true one in 95 of 100 cases.
+    pub difference: Interval,
+}
+
+/// A bound, and whether it holds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Judged {
+    /// The bound.
+    pub bound: MeasureBound,
+    /// The variant that it was held against.
+    pub variant: String,
+    /// What was measured.
+    pub value: f64,
+    /// Whether it holds.
+    pub holds: bool,
+}
+
+/// How an experiment is to be played.
+pub struct Order<'a> {
+    /// The experiment.
+    pub experiment: &'a Experiment,
+    /// The first seed.
+    pub seed: u64,
+    /// How many plays count.
+    pub plays: usize,
+    /// What takes the sidecars' place; none is simulated time.
+    pub launch: Option<Launch>,
+    /// Where logs go.
+    pub folder: &'a Path,
+}
+
+/// Why an experiment came to nothing.
+#[derive(Debug)]
+pub enum Failure {
+    /// A play could not be played.
+    Play(PlayError),
+    /// The machine was too slow, time and again.
+    Late {
+        /// How late requests left, one in a hundred, in milliseconds.
+        lateness_ms: f64,
+    },
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Play(e) => e.fmt(f),
+            Self::Late { lateness_ms } => write!(
+                f,
+                "the machine is too slow for this experiment: one request in a hundred left {lateness_ms:.0} ms late or more, also when played again"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// A play that ran late is played again so many times.
+const AGAIN: usize = 2;
+
+/// Plays everything. `told` hears of each step: play, variant, requests sent.
+///
+/// # Errors
+/// A play cannot be played, or the machine is too slow.
+pub async fn compare(order: Order<'_>, told: impl Fn(usize, &str, Progress)) -> Result<Comparison, Failure> {
+    let experiment = order.experiment;
+    let mut tallies: Vec<Vec<Tally>> = vec![Vec::new(); experiment.variant.len()];
+    let mut voided = 0;
+    for number in 0..order.plays {
+        let plan = Arc::new(draw(experiment, order.seed.wrapping_add(number as u64)));
+        let mut again = 0;
+        loop {
+            let mut round = Vec::new();
+            for variant in &experiment.variant {
+                let tally = match &order.launch {
+                    None => {
+                        told(number, &variant.name, Progress { sent: 0, all: plan.arrivals.len() });
+                        simulate(experiment, &plan)
+                    }
+                    Some(launch) => {
+                        let folder = order.folder.join(format!("{}-{number}", variant.name));
+                        std::fs::create_dir_all(&folder).map_err(|e| {
+                            Failure::Play(PlayError::Io(format!("cannot make {}", folder.display()), e))
+                        })?;
+                        let (sender, mut progress) = watch::channel(Progress::default());
+                        let record = Record::default();
+                        let played = play(experiment, &plan, variant, launch, &folder, &sender, &record);
+                        tokio::pin!(played);
+                        loop {
+                            tokio::select! {
+                                tally = &mut played => break tally.map_err(Failure::Play)?,
+                                Ok(()) = progress.changed() => told(number, &variant.name, *progress.borrow_and_update()),
+                            }
+                        }
+                    }
+                };
+                round.push(tally);
+            }
+            let lateness = round.iter().map(|t| t.measures[&Measure::LatenessMs]).fold(0.0, f64::max);
+            if lateness <= experiment.bounds.lateness.0.as_secs_f64() * 1e3 {
+                tallies.iter_mut().zip(round).for_each(|(all, tally)| all.push(tally));
+                break;
+            }
+            voided += 1;
+            again += 1;
+            if again > AGAIN {
+                return Err(Failure::Late { lateness_ms: lateness });
+            }
+        }
+    }
+    Ok(judge(&order, &tallies, voided))
+}
+
+fn judge(order: &Order<'_>, tallies: &[Vec<Tally>], voided: usize) -> Comparison {
+    let experiment = order.experiment;
+    let variants: Vec<OfVariant> =
+        experiment.variant.iter().zip(tallies).map(|(v, tallies)| of_variant(&v.name, tallies)).collect();
+    let mut differences = Vec::new();
+    for other in variants.iter().skip(1) {
+        for measure in Measure::ALL {
+            let pairs = other.measures[&measure].plays.iter().zip(&variants[0].measures[&measure].plays);
+            let values: Vec<f64> = pairs.map(|(b, a)| b - a).collect();
+            let difference = interval(&values);
+            differences.push(Difference { variant: other.name.clone(), measure, difference });
+        }
+    }
+    let mut bounds = Vec::new();
+    for bound in &experiment.bounds.measure {
+        let named =
+            |name: &str| variants.iter().find(|v| v.name == name).map(|v| v.measures[&bound.measure].mean);
+        for variant in variants.iter().filter(|v| bound.variant.as_ref().is_none_or(|name| *name == v.name)) {
+            let own = variant.measures[&bound.measure].mean;
+            let value = match bound.against.as_deref().and_then(named) {
+                // Nothing against nothing is the same.
+                Some(0.0) => {
+                    if own == 0.0 {
+                        1.0
+                    } else {
+                        f64::INFINITY
+                    }
+                }
+                Some(other) => own / other,
+                None => own,
+            };
+            let holds =
+                bound.least.is_none_or(|least| value >= least) && bound.most.is_none_or(|most| value <= most);
+            bounds.push(Judged { bound: bound.clone(), variant: variant.name.clone(), value, holds });
+        }
+    }
+    let passed = bounds.iter().all(|b| b.holds) && variants.iter().all(|v| v.findings.is_empty());
+    Comparison {
+        schema: 1,
+        experiment: experiment.clone(),
+        seed: order.seed,
+        plays: order.plays,
+        voided,
+        simulated: order.launch.is_none(),
+        variants,
+        differences,
+        bounds,
+        passed,
+    }
+}
+
+fn of_variant(name: &str, tallies: &[Tally]) -> OfVariant {
+    let values = |measure: Measure| {
+        let plays: Vec<f64> = tallies.iter().map(|t| t.measures[&measure]).collect();
+        Values { mean: mean(&plays), plays }
+    };
+    let curve = |of: fn(&Tally) -> &Vec<f64>| {
+        let longest = tallies.iter().map(|t| of(t).len()).max().unwrap_or(0);
+        let at = |i: usize| mean(&tallies.iter().filter_map(|t| of(t).get(i).copied()).collect::<Vec<_>>());
+        (0..longest).map(at).collect()
+    };
+    OfVariant {
+        name: name.to_owned(),
+        measures: Measure::ALL.iter().map(|m| (*m, values(*m))).collect(),
+        findings: tallies
+            .iter()
+            .enumerate()
+            .flat_map(|(play, tally)| tally.findings.iter().map(move |f| (play, f.clone())))
+            .collect(),
+        curves: Curves {
+            bin_s: BIN as f64 / 1e6,
+            served: curve(|t| &t.served),
+            attempts: curve(|t| &t.attempts),
+            percentiles: PERCENTILES.to_vec(),
+            latency_ms: curve(|t| &t.latency_ms),
+            by_server: tallies.first().map(|t| t.by_server.clone()).unwrap_or_default(),
+        },
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::Variant;
+
+    async fn simulated(bounds: &[MeasureBound]) -> Comparison {
+        let variant = |name: &str| Variant { name: name.to_owned(), ..Variant::default() };
+        let mut experiment = Experiment { name: "a".to_owned(), ..Experiment::default() };
+        experiment.variant = vec![variant("one"), variant("two")];
+        experiment.bounds.measure = bounds.to_vec();
+        let folder = Path::new("/nonexistent");
+        let order = Order { experiment: &experiment, seed: 1, plays: 2, launch: None, folder };
+        compare(order, |_, _, _| {}).await.expect("it is played")
+    }
+
+    fn bound(against: Option<&str>, least: Option<f64>, most: Option<f64>) -> MeasureBound {
+        let (variant, against) = (Some("two".to_owned()), against.map(str::to_owned));
+        MeasureBound { measure: Measure::Served, variant, against, least, most }
+    }
+
+    #[tokio::test]
+    async fn the_same_against_itself_differs_by_nothing_and_a_bound_that_is_missed_fails() {
+        let good = simulated(&[bound(Some("one"), Some(1.0), Some(1.0)), bound(None, Some(0.1), None)]).await;
+        assert!(good.passed && good.bounds.len() == 2, "{:?}", good.bounds);
+        assert!(good.differences.iter().all(|d| d.difference.mean == 0.0));
+        assert_eq!(good.differences.len(), Measure::ALL.len());
+        let bad = simulated(&[bound(None, Some(1.01), None)]).await;
+        assert!(!bad.passed && !bad.bounds[0].holds);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/directory.rs
@@ -0,0 +1,124 @@
+//! The list of servers as discovery comes to know it. Changes with what a list tells.
+
+use crate::Us;
+use crate::draw::{Plan, ServerSpec};
+use crate::site::{KINDS, ZONES};
+use serde_json::{Value, json};
+
+/// State of a server on the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It takes requests; its process started then, or long ago.
+    Active {
+        /// Time since the play began.
+        since: Option<Us>,
+    },
+    /// It finishes what it has.
+    Leaving,
+    /// It is gone.
+    Left,
+}
+
+/// Something that the list comes to tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// When discovery learns of it; each sidecar's agent some time later.
+    pub at: Us,
+    /// The server.
+    pub server: usize,
+    /// Its state from then on.
+    pub state: State,
+}
+
+/// What is known at the beginning, as version 1, and each change after it, as one version more.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Directory {
+    /// Servers that are active from the beginning.
+    pub known: Vec<usize>,
+    /// Changes by time.
+    pub changes: Vec<Change>,
+}
+
+impl Directory {
+    /// How many changes an agent that is `lag` late has heard of at `now`.
+    pub fn heard(&self, now: Us, lag: Us) -> usize {
+        self.changes.partition_point(|change| change.at.saturating_add(lag) <= now)
+    }
+
+    /// When such an agent next hears of something, after so many changes.
+    pub fn next(&self, heard: usize, lag: Us) -> Option<Us> {
+        self.changes.get(heard).map(|change| change.at.saturating_add(lag))
+    }
+
+    /// The whole list after so many changes: every server that is not gone.
+    pub fn whole(&self, heard: usize) -> Vec<(usize, State)> {
+        let mut list: std::collections::BTreeMap<usize, State> =
+            self.known.iter().map(|server| (*server, State::Active { since: None })).collect();
+        for change in &self.changes[..heard] {
+            list.insert(change.server, change.state);
+        }
+        list.into_iter().filter(|(_, state)| *state != State::Left).collect()
+    }
+
+    /// What has changed between two such counts: the newest state of each server.
+    pub fn between(&self, from: usize, to: usize) -> Vec<(usize, State)> {
+        let changes = &self.changes[from.min(to)..to];
+        let mut list: std::collections::BTreeMap<usize, State> = Default::default();
+        list.extend(changes.iter().map(|change| (change.server, change.state)));
+        list.into_iter().collect()
+    }
+}
+
+/// Unix time in milliseconds at which the play began, and what an entry is called on the wire.
+pub fn entry(spec: &ServerSpec, state: State, address: std::net::SocketAddr, began_ms: u64) -> Value {
+    let (status, since) = match state {
+        State::Active { since } => ("active", since.map_or(0, |at| began_ms + at / 1000)),
+        State::Leaving => ("leaving", 0),
+        State::Left => ("left", 0),
+    };
+    json!({"name": spec.name, "address": address.to_string(), "zone": ZONES[spec.zone], "type": KINDS[spec.kind].name,
+        "group": spec.group, "status": status, "weight": weight(spec), "since_ms": since})
+}
+
+/// The size that the list gives a server: its kind's mean speed, as registered.
+pub fn weight(spec: &ServerSpec) -> f64 {
+    let kind = &KINDS[spec.kind];
+    (kind.speed.0 + kind.speed.1) / 2.0
+}
+
+/// A list in the form of the protocol page.
+pub fn list(
+    plan: &Plan,
+    entries: &[(usize, State)],
+    heard: usize,
+    whole: bool,
+    address: impl Fn(usize) -> std::net::SocketAddr,
+    began_ms: u64,
+) -> Value {
+    let entries: Vec<Value> =
+        entries.iter().map(|(i, state)| entry(&plan.servers[*i], *state, address(*i), began_ms)).collect();
+    json!({"index": heard + 1, "snapshot": whole, "endpoints": entries})
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_agent_hears_late_and_in_order() {
+        let active = State::Active { since: Some(9) };
+        let changes = vec![
+            Change { at: 5, server: 0, state: State::Leaving },
+            Change { at: 9, server: 2, state: active },
+            Change { at: 20, server: 0, state: State::Left },
+        ];
+        let directory = Directory { known: vec![0, 1], changes };
+        assert_eq!([0, 14, 15, 19, 30].map(|now| directory.heard(now, 10)), [0, 0, 1, 2, 3]);
+        assert_eq!(directory.next(1, 10), Some(19));
+        assert_eq!(directory.next(3, 10), None);
+        let old = State::Active { since: None };
+        assert_eq!(directory.whole(2), [(0, State::Leaving), (1, old), (2, active)]);
+        assert_eq!(directory.whole(3), [(1, old), (2, active)]);
+        assert_eq!(directory.between(0, 3), [(0, State::Left), (2, active)]);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,32 @@
+//! A lab for fleets of sidecars: stand-ins for servers, discovery and applications, written from the public pages; a
+//! network with faults between them; auditors that see the lab's own sockets only; experiments with reports.
+//! [`sim`] plays the same experiments with the decision module in simulated time.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod agent;
+pub mod apps;
+pub mod audit;
+pub mod comparison;
+pub mod directory;
+pub mod draw;
+pub mod experiment;
+pub mod live;
+pub mod net;
+pub mod outcome;
+pub mod play;
+pub mod record;
+pub mod relay;
+pub mod report;
+pub mod servers;
+pub mod sim;
+pub mod site;
+pub mod statistics;
+pub mod supervisor;
+pub mod tally;
+pub mod world;
+
+/// Microseconds: a duration, or the time since a play began.
+pub type Us = u64;
+/// Microseconds in a second.
+pub const SECOND: Us = 1_000_000;
--- /dev/null
+++ b/crates/lab/src/outcome.rs
@@ -0,0 +1,86 @@
+//! The figures by which plays are compared. Changes with what is measured.
+
+use serde::{Deserialize, Serialize};
+
+/// A figure of one play.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Measure {
+    /// Worth answered within its aim over the worth asked for.
+    Served,
+    /// The same for the class that is served worst.
+    ServedWorstClass,
+    /// The same for the worst second.
+    ServedWorstSecond,
+    /// Requests answered at all, over all.
+    Answered,
+    /// Tries refused, over all tries.
+    Refused,
+    /// Tries failed, given up or lost, over all tries.
+    Failed,
+    /// Attempts at servers for each request.
+    Attempts,
+    /// Attempts that servers turned away, for each request.
+    TurnedAway,
+    /// Attempts of which nothing came, as the server was silent or had ended, for each request.
+    Swallowed,
+    /// Connections made to servers, for each request.
+    Handshakes,
+    /// Probes for each request.
+    Probes,
+    /// Attempts to another zone, over all attempts.
+    Crossing,
+    /// Work that warm keys have saved, over the work that would else have been done.
+    WorkSaved,
+    /// Servers pushed over while cold.
+    Fallen,
+    /// Median time from a request's first try to its answer, in milliseconds.
+    P50Ms,
+    /// The time under which 99 in 100 lie, in milliseconds.
+    P99Ms,
+    /// How late the lab itself was, one request in a hundred, in milliseconds.
+    LatenessMs,
+    /// Broken rules.
+    BrokenRules,
+}
+
+impl Measure {
+    /// All of them.
+    pub const ALL: [Self; 18] = [
+        Self::Served,
+        Self::ServedWorstClass,
+        Self::ServedWorstSecond,
+        Self::Answered,
+        Self::Refused,
+        Self::Failed,
+        Self::Attempts,
+        Self::TurnedAway,
+        Self::Swallowed,
+        Self::Handshakes,
+        Self::Probes,
+        Self::Crossing,
+        Self::WorkSaved,
+        Self::Fallen,
+        Self::P50Ms,
+        Self::P99Ms,
+        Self::LatenessMs,
+        Self::BrokenRules,
+    ];
+
+    /// Its name in files.
+    pub fn name(self) -> String {
+        serde_json::to_value(self).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_has_a_name_of_its_own() {
+        let names: std::collections::BTreeSet<String> = Measure::ALL.iter().map(|m| m.name()).collect();
+        assert_eq!(names.len(), Measure::ALL.len());
+        assert!(names.contains("served_worst_second") && names.contains("p99_ms"), "{names:?}");
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/processes.rs
@@ -0,0 +1,98 @@
+//! A short play with real sidecars, one of which is killed and one zone of which is cut off: judged by the auditors
+//! alone, so that the verdict is the same on a slow machine.
+
+use linenproxy_common::units::Time;
+use linenproxy_lab::draw::draw;
+use linenproxy_lab::experiment::{Experiment, Fault, FaultKind, Variant, Way};
+use linenproxy_lab::outcome::Measure;
+use linenproxy_lab::play::{Launch, Progress, play};
+use linenproxy_lab::record::Record;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// A program of the workspace, built along with this test.
+fn program(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("a test is a program");
+    let folder = own.parent().and_then(|deps| deps.parent()).expect("it lies in the folder of the build");
+    let program = folder.join(name);
+    assert!(program.is_file(), "{} is not built: test the whole workspace", program.display());
+    program
+}
+
+fn fault(kind: FaultKind, at: u64, lasts: u64) -> Fault {
+    let (at, lasts) = (Time::ms(at), Time::ms(lasts));
+    Fault { kind, at, lasts, zone: None, part: None, size: None, way: None }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn three_sidecars_keep_the_rules_through_a_kill_and_a_cut() {
+    let mut experiment = Experiment { name: "short".to_owned(), ..Experiment::default() };
+    (experiment.topology.sidecars, experiment.topology.servers) = (3, 6);
+    (experiment.load.lasts, experiment.load.warmup, experiment.load.work) =
+        (Time::ms(6000), Time::ms(0), 0.3);
+    experiment.fault = vec![
+        Fault { part: Some(0.3), ..fault(FaultKind::SidecarsKill, 1000, 500) },
+        Fault { zone: Some(0), way: Some(Way::Both), ..fault(FaultKind::ZoneCut, 2500, 1500) },
+    ];
+    let plan = Arc::new(draw(&experiment, 7));
+    let folder = tempfile::tempdir().expect("a folder");
+    let launch = Launch::Program(program("tinflow"));
+    let (sender, _progress) = watch::channel(Progress::default());
+    let record = Record::default();
+    let played =
+        play(&experiment, &plan, &Variant::default(), &launch, folder.path(), &sender, &record).await;
+    let tally = played.expect("it is played");
+    assert_eq!(tally.findings, []);
+    let attempts: u64 = tally.by_server.iter().sum();
+    assert!(attempts as usize >= plan.arrivals.len() / 2, "{attempts} attempts for {}", plan.arrivals.len());
+    assert!(tally.measures[&Measure::Answered] > 0.0);
+    for sidecar in 0..3 {
+        let log =
+            std::fs::read_to_string(folder.path().join(format!("n{sidecar}.log"))).expect("its log is kept");
+        assert!(log.ends_with("tinflow: told to stop\n"), "sidecar {sidecar}: {log}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_sidecar_that_does_not_start_ends_the_play_with_its_last_words() {
+    let experiment = Experiment { name: "short".to_owned(), ..Experiment::default() };
+    let plan = Arc::new(draw(&experiment, 7));
+    let folder = tempfile::tempdir().expect("a folder");
+    let variant = Variant { config: "[metrics]\nadress = \"\"\n".to_owned(), ..Variant::default() };
+    let launch = Launch::Program(program("tinflow"));
+    let (sender, _progress) = watch::channel(Progress::default());
+    let played =
+        play(&experiment, &plan, &variant, &launch, folder.path(), &sender, &Record::default()).await;
+    let said = played.expect_err("it cannot start").to_string();
+    assert!(said.contains("metrics.adress: unknown field"), "{said}");
+}
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_linenproxy-lab")).args(args).output().expect("it starts")
+}
+
+#[test]
+fn the_command_line_says_what_is_wrong_and_simulates_the_same_twice() {
+    let experiments = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../experiments");
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(&experiments).expect("the experiments are there") {
+        files.push(entry.expect("an entry").path().to_str().expect("a plain name").to_owned());
+    }
+    assert!(files.len() >= 6, "{files:?}");
+    let check: Vec<&str> = std::iter::once("check").chain(files.iter().map(String::as_str)).collect();
+    assert_eq!(lab(&check).status.code(), Some(0));
+    let missing = lab(&["run", "/nonexistent.toml"]);
+    assert_eq!(missing.status.code(), Some(78));
+    let said = String::from_utf8(missing.stderr).expect("text");
+    assert!(
+        said.starts_with("linenproxy-lab: /nonexistent.toml: cannot read it") && said.lines().count() == 1
+    );
+    let calm = experiments.join("calm.toml");
+    let calm = calm.to_str().expect("a plain name");
+    let simulated = || lab(&["sim", calm, "--sidecars", "300", "--servers", "200", "--seed", "5", "--json"]);
+    let (one, two) = (simulated(), simulated());
+    assert_eq!(one.status.code(), Some(0), "{}", String::from_utf8_lossy(&one.stderr));
+    assert!(one.stdout == two.stdout && one.stdout.len() > 1000);
+}
