Let a planned stop excuse losses only until the sidecar's next life is ready

The lab's auditor of answers excused each loss from 0.7 to 10 s after a SIGTERM, so one by the restarted sidecar went unseen: the 10 s had no reason. It now ends with the next readiness; the test of that fails on the old rule, which never looked at readiness. Record::len and is_empty had no user and are gone.

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -74,10 +74,12 @@
     // Stops and ends of each sidecar: what a kill takes along is no broken rule.
     let mut downs: HashMap<usize, Vec<(Us, bool)>> = HashMap::new();
     let mut told: HashMap<usize, Vec<Us>> = HashMap::new();
+    let mut ups: HashMap<usize, Vec<Us>> = HashMap::new();
     for (at, seen) in record {
         match seen {
             Seen::SidecarDown { sidecar, killed } => downs.entry(*sidecar).or_default().push((*at, *killed)),
             Seen::SidecarTold { sidecar } => told.entry(*sidecar).or_default().push(*at),
+            Seen::SidecarUp { sidecar } => ups.entry(*sidecar).or_default().push(*at),
             _ => {}
         }
     }
@@ -87,9 +89,12 @@
                 .iter()
                 .any(|(down, killed)| *killed && (taken..=at.saturating_add(site::SLACK)).contains(down))
         });
-        // Past that, new ones need not be taken any more.
+        // Past that, new ones need not be taken any more, until its next life is ready.
         let stopping = told.get(&sidecar).is_some_and(|told| {
-            told.iter().any(|t| taken > t + STOP_GRACE && taken < t + 10 * crate::SECOND)
+            let back = |since: Us| {
+                ups.get(&sidecar).is_some_and(|ups| ups.iter().any(|u| since < *u && *u <= taken))
+            };
+            told.iter().any(|t| taken > t + STOP_GRACE && !back(*t))
         });
         killed || stopping
     };
@@ -375,6 +380,21 @@
         assert_eq!(with(down(5 * SECOND, true)), [Rule::Answers], "much later");
     }
 
+    #[test]
+    fn a_stop_excuses_only_what_comes_late_and_before_the_next_life() {
+        let plan = plan();
+        let with = |told: Us, up: Option<Us>| {
+            let mut record = vec![(told, Seen::SidecarTold { sidecar: 0 }), taken(&plan, Repeat::Safe)];
+            record.extend(up.map(|at| (at, Seen::SidecarUp { sidecar: 0 })));
+            record.push((SECOND + 500, Seen::Lost { request: 7 }));
+            record.sort_by_key(|(at, _)| *at);
+            rules(&plan, &record)
+        };
+        assert_eq!(with(SECOND - 800_000, None), []);
+        assert_eq!(with(SECOND - 600_000, None), [Rule::Answers], "it had to take that");
+        assert_eq!(with(SECOND - 800_000, Some(SECOND - 1)), [Rule::Answers], "the next life had taken it");
+    }
+
     #[test]
     fn one_answer_each_neither_none_nor_two_nor_a_forged_one() {
         let plan = plan();
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -138,22 +138,12 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner).push((at, seen));
     }
 
-    /// How much was noted so far.
-    pub fn len(&self) -> usize {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).len()
-    }
-
     /// What was noted after the first so many, in the order of noting.
     pub fn after(&self, count: usize) -> Vec<Entry> {
         let entries = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         entries.get(count..).unwrap_or_default().to_vec()
     }
 
-    /// Whether nothing was.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// Takes all that was noted, in the order of time.
     pub fn take(&self) -> Vec<Entry> {
         let mut entries = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
