--- a/benches/overhead.rs
+++ b/benches/overhead.rs
@@ -36,6 +36,7 @@
         status: Status::Ready,
         size: 1.0,
         started: None,
+        alias: 0,
     };
     let mut out = Vec::new();
     let list = ListUpdate::Full((0..ENDPOINTS).map(listing).collect());
--- /dev/null
+++ b/crates/fleet/src/evidence.rs
@@ -0,0 +1,257 @@
+//! What members saw of endpoints, merged in any order to the same table. Changes with what evidence is, and with which
+//! of it is kept.
+//!
+//! The table is a join semilattice: for each endpoint process and zone it keeps the newest datum of each origin, and of
+//! those the [`KEPT`] newest. Merging is idempotent, commutative and associative, since a datum that was left out had
+//! as many newer ones of other origins above it, and those only become newer (a join semilattice in the sense of
+//! Shapiro et al., "Conflict-free Replicated Data Types", SSS 2011, section 2.3).
+
+use crate::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// An endpoint process: the hash of its name and the start of its process, 0 where that is long ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Process {
+    /// Hash of its name.
+    pub name: u64,
+    /// When it started.
+    pub started: Micros,
+}
+
+/// What one member saw of an endpoint last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Sign {
+    /// It failed: an error, silence, no connection, a connection that broke.
+    Sick,
+    /// It served.
+    Well,
+}
+
+/// Evidence of one member on one endpoint process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datum {
+    /// Hash of the name of who saw it.
+    pub origin: u64,
+    /// Its life.
+    pub incarnation: u64,
+    /// Grows with each datum of that life.
+    pub sequence: u64,
+    /// Hash of its zone.
+    pub zone: u64,
+    /// When it was seen, by its clock.
+    pub seen: Micros,
+    /// Of what.
+    pub process: Process,
+    /// What.
+    pub sign: Sign,
+}
+
+impl Datum {
+    /// The order in which data of one table stand: the newest last.
+    fn rank(&self) -> (Micros, u64, u64, u64) {
+        (self.seen, self.origin, self.incarnation, self.sequence)
+    }
+}
+
+/// Data kept for each endpoint process and zone: twice the witnesses that a verdict needs by default.
+pub const KEPT: usize = 6;
+/// Endpoint processes and zones for which data are kept: those of a thousand endpoints in three zones, and room for
+/// their next processes.
+pub const MOST: usize = 4096;
+
+/// What a merge changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merged {
+    /// Something that was not there; how many of its kind stand above it.
+    New {
+        /// Newer data with the same sign there.
+        alike: usize,
+    },
+    /// Nothing.
+    Known,
+    /// The table is full.
+    Full,
+}
+
+/// All evidence that this member knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    of: BTreeMap<(Process, u64), Vec<Datum>>,
+}
+
+impl Table {
+    /// Takes in a datum.
+    pub fn merge(&mut self, datum: Datum) -> Merged {
+        let place = (datum.process, datum.zone);
+        if !self.of.contains_key(&place) && self.of.len() >= MOST {
+            return Merged::Full;
+        }
+        let data = self.of.entry(place).or_default();
+        match data.iter().position(|d| d.origin == datum.origin) {
+            Some(i) if data[i].rank() >= datum.rank() => return Merged::Known,
+            Some(i) => drop(data.remove(i)),
+            None => {}
+        }
+        let at = data.partition_point(|d| d.rank() > datum.rank());
+        if at >= KEPT {
+            return Merged::Known;
+        }
+        let alike = data[..at].iter().filter(|d| d.sign == datum.sign).count();
+        data.insert(at, datum);
+        data.truncate(KEPT);
+        Merged::New { alike }
+    }
+
+    /// What is known of a process, zone by zone, the newest first.
+    pub fn of(&self, process: Process) -> impl Iterator<Item = (u64, &[Datum])> {
+        self.of.range((process, 0)..=(process, u64::MAX)).map(|((_, zone), data)| (*zone, data.as_slice()))
+    }
+
+    /// The datum of that origin on a process.
+    pub fn by(&self, process: Process, zone: u64, origin: u64) -> Option<&Datum> {
+        self.of.get(&(process, zone))?.iter().find(|d| d.origin == origin)
+    }
+
+    /// Processes of which anything is known.
+    pub fn processes(&self) -> impl Iterator<Item = Process> {
+        let mut last = None;
+        self.of.keys().map(|(process, _)| *process).filter(move |p| last.replace(*p) != Some(*p))
+    }
+
+    /// Drops what was seen before `since`.
+    pub fn drop_before(&mut self, since: Micros) {
+        for data in self.of.values_mut() {
+            data.retain(|d| d.seen >= since);
+        }
+        self.of.retain(|_, data| !data.is_empty());
+    }
+
+    /// Data in it.
+    pub fn len(&self) -> usize {
+        self.of.values().map(Vec::len).sum()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.of.is_empty()
+    }
+
+    /// Processes of which that origin has said last that they are sick, since then.
+    pub fn sick_by(&self, origin: u64, since: Micros) -> usize {
+        let by = |d: &&Datum| d.origin == origin && d.sign == Sign::Sick && d.seen >= since;
+        self.of.values().filter_map(|data| data.iter().find(by)).count()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn data() -> impl Strategy<Value = Vec<Datum>> {
+        let datum = (0u64..12, 0u64..2, 0u64..6, 0u64..2, 0i64..30, 0u64..2, any::<bool>());
+        let datum = datum.prop_map(|(origin, incarnation, sequence, zone, seen, name, well)| Datum {
+            origin,
+            incarnation,
+            sequence,
+            zone,
+            seen,
+            process: Process { name, started: 0 },
+            sign: if well { Sign::Well } else { Sign::Sick },
+        });
+        proptest::collection::vec(datum, 0..60)
+    }
+
+    fn merged<'a>(data: impl Iterator<Item = &'a Datum>) -> Table {
+        let mut table = Table::default();
+        data.for_each(|d| {
+            table.merge(*d);
+        });
+        table
+    }
+
+    /// All of one table into another.
+    fn joined(mut one: Table, other: &Table) -> Table {
+        other.of.values().flatten().for_each(|d| {
+            one.merge(*d);
+        });
+        one
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
+        // Rule 1: loss aside, what comes twice, late or in another order gives the same table.
+        #[test]
+        fn order_repeats_and_grouping_change_nothing(mut data in data(), cut in 0usize..60, swaps in proptest::collection::vec(any::<prop::sample::Index>(), 0..60)) {
+            // One origin never says two things under one number.
+            data.iter_mut().for_each(|d| {
+                d.sign = if (d.seen + d.sequence as i64) % 2 == 0 { Sign::Well } else { Sign::Sick };
+                d.incarnation = d.origin % 3;
+            });
+            let straight = merged(data.iter());
+            prop_assert_eq!(&merged(data.iter().rev()), &straight);
+            prop_assert_eq!(&merged(data.iter().chain(&data)), &straight);
+            let mut shuffled = data.clone();
+            if !shuffled.is_empty() {
+                for (i, swap) in swaps.iter().enumerate() {
+                    let (i, other) = (i % shuffled.len(), swap.index(shuffled.len()));
+                    shuffled.swap(i, other);
+                }
+            }
+            prop_assert_eq!(&merged(shuffled.iter()), &straight);
+            let (one, other) = data.split_at(cut.min(data.len()));
+            let (one, other) = (merged(one.iter()), merged(other.iter()));
+            prop_assert_eq!(&joined(one.clone(), &other), &straight);
+            prop_assert_eq!(&joined(other, &one), &straight);
+        }
+    }
+
+    #[test]
+    fn the_newest_of_each_origin_are_kept_and_what_is_too_old_goes() {
+        let process = Process { name: 1, started: 0 };
+        let datum = |origin, seen, sign| Datum {
+            origin,
+            incarnation: 1,
+            sequence: seen as u64,
+            zone: 0,
+            seen,
+            process,
+            sign,
+        };
+        let mut table = Table::default();
+        assert_eq!(table.merge(datum(1, 5, Sign::Sick)), Merged::New { alike: 0 });
+        assert_eq!(table.merge(datum(1, 4, Sign::Well)), Merged::Known, "it has said something else since");
+        assert_eq!(table.merge(datum(2, 4, Sign::Sick)), Merged::New { alike: 1 });
+        assert_eq!(table.merge(datum(1, 9, Sign::Well)), Merged::New { alike: 0 });
+        for origin in 3..20 {
+            table.merge(datum(origin, origin as i64 + 10, Sign::Sick));
+        }
+        assert_eq!(table.len(), KEPT);
+        assert_eq!(table.sick_by(19, 20), 1);
+        assert_eq!(table.sick_by(19, 30), 0);
+        assert_eq!(table.by(process, 0, 1), None, "others have seen it later");
+        table.drop_before(29);
+        assert_eq!(table.processes().count(), 1);
+        assert_eq!(table.len(), 1);
+        table.drop_before(30);
+        assert!(table.is_empty());
+    }
+
+    #[test]
+    fn a_full_table_takes_no_further_process() {
+        let mut table = Table::default();
+        let datum = |name| Datum {
+            origin: 1,
+            incarnation: 1,
+            sequence: 1,
+            zone: 0,
+            seen: 1,
+            process: Process { name, started: 0 },
+            sign: Sign::Sick,
+        };
+        (0..MOST as u64).for_each(|name| assert_eq!(table.merge(datum(name)), Merged::New { alike: 0 }));
+        assert_eq!(table.merge(datum(MOST as u64)), Merged::Full);
+        assert_eq!(table.merge(Datum { seen: 2, sequence: 2, ..datum(0) }), Merged::New { alike: 0 });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/frame.rs
@@ -0,0 +1,220 @@
+//! Datagrams between members: their form, and why one is dropped. Changes with the form alone.
+//!
+//! `LPF`, the version of the form, the least version whose readers understand it, then by postcard a [`Head`], then the
+//! content: foca's bytes as they are, or pieces, each with its kind and length, so that a reader passes over kinds that
+//! it does not know.
+
+use crate::Micros;
+use serde::{Deserialize, Serialize};
+
+/// Longest datagram, in bytes: it passes through any network of today whole (IPv6 guarantees 1,280 with its headers,
+/// RFC 8200, section 5).
+pub const LONGEST: usize = 1200;
+/// The version that is written.
+pub const VERSION: u8 = 1;
+const MAGIC: &[u8; 3] = b"LPF";
+
+/// What stands before the content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head<'a> {
+    /// The sender's fleet.
+    pub cluster: &'a str,
+    /// When it was sent, by the sender's clock.
+    pub sent: Micros,
+    /// What the content is.
+    pub content: Content,
+}
+
+/// Kinds of content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// Membership, foca's.
+    Membership,
+    /// Pieces of news.
+    News,
+}
+
+/// A piece of news: its kind and its bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece<'a> {
+    /// What it is; see the kinds beside this.
+    pub kind: u8,
+    /// Its own form.
+    pub bytes: &'a [u8],
+}
+
+/// A piece that is [`crate::evidence::Datum`].
+pub const EVIDENCE: u8 = 1;
+
+/// Why a datagram, or something in it, was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Dropped {
+    /// Longer than [`LONGEST`].
+    TooLong,
+    /// Not of this form.
+    Malformed,
+    /// Of a version that cannot be read.
+    Version,
+    /// Of another fleet.
+    Cluster,
+    /// From an address that is none of this fleet's.
+    Unknown,
+    /// Sent by a clock that is off, or long ago.
+    Clock,
+    /// Older than its bound.
+    Stale,
+    /// Of an endpoint that is not listed here, or of another process of it.
+    Unlisted,
+    /// Said in this member's own name.
+    Forged,
+    /// More than a table or queue holds.
+    Full,
+    /// A piece of a kind that is not known here.
+    Kind,
+}
+
+impl Dropped {
+    /// Its word in metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::TooLong => "too_long",
+            Self::Malformed => "malformed",
+            Self::Version => "version",
+            Self::Cluster => "cluster",
+            Self::Unknown => "unknown",
+            Self::Clock => "clock",
+            Self::Stale => "stale",
+            Self::Unlisted => "unlisted",
+            Self::Forged => "forged",
+            Self::Full => "full",
+            Self::Kind => "kind",
+        }
+    }
+}
+
+/// All reasons, in the order of their numbers.
+pub const REASONS: [Dropped; 11] = [
+    Dropped::TooLong,
+    Dropped::Malformed,
+    Dropped::Version,
+    Dropped::Cluster,
+    Dropped::Unknown,
+    Dropped::Clock,
+    Dropped::Stale,
+    Dropped::Unlisted,
+    Dropped::Forged,
+    Dropped::Full,
+    Dropped::Kind,
+];
+
+/// Writes a datagram's beginning.
+pub fn begin(head: &Head<'_>) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(LONGEST);
+    bytes.extend_from_slice(MAGIC);
+    bytes.extend_from_slice(&[VERSION, VERSION]);
+    // A vector takes all that is written to it.
+    postcard::to_extend(head, bytes).unwrap_or_default()
+}
+
+/// Adds a piece, where there is still room for it.
+pub fn add(bytes: &mut Vec<u8>, piece: &Piece<'_>) -> bool {
+    let Ok(piece) = postcard::to_stdvec(piece) else { return false };
+    let fits = bytes.len() + piece.len() <= LONGEST;
+    if fits {
+        bytes.extend_from_slice(&piece);
+    }
+    fits
+}
+
+/// Reads a datagram of that fleet.
+///
+/// # Errors
+/// Why it is to be dropped.
+pub fn read<'a>(bytes: &'a [u8], cluster: &str) -> Result<(Head<'a>, &'a [u8]), Dropped> {
+    if bytes.len() > LONGEST {
+        return Err(Dropped::TooLong);
+    }
+    let rest = bytes.strip_prefix(MAGIC).ok_or(Dropped::Malformed)?;
+    let [version, least, rest @ ..] = rest else { return Err(Dropped::Malformed) };
+    if *least > VERSION || least > version {
+        return Err(Dropped::Version);
+    }
+    let (head, content) = postcard::take_from_bytes::<Head<'_>>(rest).map_err(|_| Dropped::Malformed)?;
+    if head.cluster != cluster {
+        return Err(Dropped::Cluster);
+    }
+    Ok((head, content))
+}
+
+/// The pieces of a content, up to the first that cannot be read.
+pub fn pieces<'a>(mut content: &'a [u8]) -> impl Iterator<Item = Result<Piece<'a>, Dropped>> {
+    std::iter::from_fn(move || {
+        if content.is_empty() {
+            return None;
+        }
+        match postcard::take_from_bytes::<Piece<'a>>(content) {
+            Ok((piece, rest)) => {
+                content = rest;
+                Some(Ok(piece))
+            }
+            Err(_) => {
+                content = &[];
+                Some(Err(Dropped::Malformed))
+            }
+        }
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn head() -> Head<'static> {
+        Head { cluster: "a", sent: 7, content: Content::News }
+    }
+
+    #[test]
+    fn what_is_written_is_read_and_what_is_not_for_us_has_its_reason() {
+        let mut bytes = begin(&head());
+        let piece = Piece { kind: EVIDENCE, bytes: &[1, 2, 3] };
+        assert!(add(&mut bytes, &piece) && add(&mut bytes, &piece));
+        let (read_head, content) = read(&bytes, "a").expect("it is good");
+        assert_eq!(read_head, head());
+        assert_eq!(pieces(content).collect::<Vec<_>>(), [Ok(piece), Ok(piece)]);
+        assert_eq!(read(&bytes, "b").map(|_| ()), Err(Dropped::Cluster));
+        assert_eq!(read(&[0; LONGEST + 1], "a").map(|_| ()), Err(Dropped::TooLong));
+        assert_eq!(read(b"LPF", "a").map(|_| ()), Err(Dropped::Malformed));
+        assert_eq!(read(b"", "a").map(|_| ()), Err(Dropped::Malformed));
+        while add(&mut bytes, &piece) {}
+        assert!(bytes.len() <= LONGEST && bytes.len() > LONGEST - 8);
+    }
+
+    #[test]
+    fn a_later_version_is_read_as_far_as_it_says_it_can_be() {
+        let mut later = begin(&head());
+        // Version 2 has a kind of its own, and says that readers of version 1 understand the rest.
+        assert!(add(&mut later, &Piece { kind: 200, bytes: &[9; 40] }));
+        assert!(add(&mut later, &Piece { kind: EVIDENCE, bytes: &[5] }));
+        later[3] = 2;
+        let (_, content) = read(&later, "a").expect("it can be read");
+        let kinds: Vec<u8> = pieces(content).filter_map(|p| p.ok().map(|p| p.kind)).collect();
+        assert_eq!(kinds, [200, EVIDENCE]);
+        later[4] = 2;
+        assert_eq!(read(&later, "a").map(|_| ()), Err(Dropped::Version));
+    }
+
+    proptest! {
+        #[test]
+        fn no_bytes_at_all_cause_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..1400), cut in 0usize..60) {
+            let _ = read(&bytes, "a");
+            let mut good = begin(&head());
+            good.extend(&bytes[..bytes.len().min(200)]);
+            good.truncate(cut.max(5));
+            if let Ok((_, content)) = read(&good, "a") {
+                prop_assert!(pieces(content).count() <= content.len());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,30 @@
+//! What the sidecars of a fleet know together, each datum with a bound on its age.
+//!
+//! - [`section`]: the `[fleet]` section of a product configuration.
+//! - [`member`]: who a member is.
+//! - [`frame`]: datagrams, and why one is dropped.
+//! - [`evidence`]: what members saw of endpoints, merged in any order to the same table.
+//! - [`verdict`]: what follows from it for one member: who rests, who may be tried, by whom.
+//! - [`core`]: all of it as one state machine without I/O and clock.
+//! - [`udp`]: its sockets and timers.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod core;
+pub mod evidence;
+pub mod frame;
+pub mod member;
+pub mod section;
+pub mod udp;
+pub mod verdict;
+
+/// Microseconds of Unix time on a member's own clock, or a duration.
+pub type Micros = i64;
+
+/// A second.
+pub const SECOND: Micros = 1_000_000;
+
+/// The hash by which names go over the wire: 64 bits of XXH3 (github.com/Cyan4973/xxHash, "XXH3").
+pub fn hash(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
--- a/crates/lab/src/comparison.rs
+++ b/crates/lab/src/comparison.rs
@@ -10,6 +10,7 @@
 use crate::sim::simulate;
 use crate::statistics::{Interval, interval, mean};
 use crate::tally::{BIN, PERCENTILES, Tally};
+use linenproxy_common::config::Problem;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -123,6 +124,8 @@
 pub enum Failure {
     /// A play could not be played.
     Play(PlayError),
+    /// A variant's configuration cannot be used.
+    Config(Problem),
     /// The machine was too slow, time and again.
     Late {
         /// How late requests left, one in a hundred, in milliseconds.
@@ -134,6 +137,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Play(e) => e.fmt(f),
+            Self::Config(problem) => problem.fmt(f),
             Self::Late { lateness_ms } => write!(
                 f,
                 "the machine is too slow for this experiment: one request in a hundred left {lateness_ms:.0} ms late or more, also when played again"
@@ -164,7 +168,7 @@
                 let tally = match &order.launch {
                     None => {
                         told(number, &variant.name, Progress { sent: 0, all: plan.arrivals.len() });
-                        simulate(experiment, &plan)
+                        simulate(experiment, &plan, variant).map_err(Failure::Config)?
                     }
                     Some(launch) => {
                         let folder = order.folder.join(format!("{}-{number}", variant.name));
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -51,6 +51,8 @@
     pub share: f64,
     /// How late the list reaches it.
     pub list_lag: Us,
+    /// How far its clock is off, in milliseconds.
+    pub clock_offset_ms: i64,
 }
 
 /// A client's request.
@@ -99,6 +101,8 @@
     SidecarRestart(usize),
     /// It is stopped, or continued.
     SidecarPause(usize, bool),
+    /// What happens to datagrams between sidecars: that kind of fault, and the share that it concerns.
+    Datagrams(FaultKind, f64),
     /// What discovery's agents do.
     Agents(Mood),
 }
@@ -192,17 +196,22 @@
         let [least, most] = experiment.network.list_delay.map(us);
         rng.u64(least..=most)
     };
-    let sidecars: Vec<SidecarSpec> = weights
+    let mut sidecars: Vec<SidecarSpec> = weights
         .iter()
         .enumerate()
-        .map(|(i, w)| SidecarSpec { zone: i % t.zones, share: w / mean, list_lag: lag(&mut rng) })
+        .map(|(i, w)| SidecarSpec {
+            zone: i % t.zones,
+            share: w / mean,
+            list_lag: lag(&mut rng),
+            clock_offset_ms: 0,
+        })
         .collect();
     let mut faults = Faults {
         steps: Vec::new(),
         changes: Vec::new(),
         rng: stream(seed, 3),
         servers: &mut servers,
-        sidecars: &sidecars,
+        sidecars: &mut sidecars,
         list_lag: us(experiment.network.list_delay[1]),
     };
     experiment.fault.iter().for_each(|fault| faults.add(fault));
@@ -298,7 +307,7 @@
     changes: Vec<Change>,
     rng: Rng,
     servers: &'a mut Vec<ServerSpec>,
-    sidecars: &'a [SidecarSpec],
+    sidecars: &'a mut [SidecarSpec],
     list_lag: Us,
 }
 
@@ -322,6 +331,10 @@
                 FaultKind::ServersFail => (Step::ServerFails(i, size), Step::ServerFails(i, 0.0)),
                 FaultKind::SidecarsKill => (Step::SidecarKill(i), Step::SidecarStart(i)),
                 FaultKind::SidecarsPause => (Step::SidecarPause(i, true), Step::SidecarPause(i, false)),
+                FaultKind::SidecarsClock => {
+                    self.sidecars[i].clock_offset_ms = size as i64;
+                    continue;
+                }
                 FaultKind::SidecarsRoll => {
                     self.steps.push((turn(n), Step::SidecarRestart(i)));
                     continue;
@@ -349,6 +362,9 @@
             }
             FaultKind::NetworkSlow => (Step::Slow((size * 1000.0) as Us), Step::Slow(0)),
             FaultKind::NetworkResets => (Step::Resets(size), Step::Resets(0.0)),
+            kind @ (FaultKind::DatagramsLost | FaultKind::DatagramsRepeated | FaultKind::DatagramsLate) => {
+                (Step::Datagrams(kind, size), Step::Datagrams(kind, 0.0))
+            }
             FaultKind::DiscoverySilent => (Step::Agents(Mood::Silent), Step::Agents(Mood::Well)),
             FaultKind::DiscoveryGarbled => (Step::Agents(Mood::Garbled), Step::Agents(Mood::Well)),
             FaultKind::DiscoveryEmpty => (Step::Agents(Mood::Empty), Step::Agents(Mood::Well)),
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -131,6 +131,14 @@
     SidecarsRoll,
     /// Sidecars are stopped and continued (SIGSTOP, SIGCONT).
     SidecarsPause,
+    /// Sidecars' clocks are off by `size` milliseconds, from their start on.
+    SidecarsClock,
+    /// Datagrams between sidecars: a `size` share is lost.
+    DatagramsLost,
+    /// Datagrams between sidecars: a `size` share comes twice.
+    DatagramsRepeated,
+    /// Datagrams between sidecars: a `size` share is held up, so that later ones come before.
+    DatagramsLate,
     /// Discovery says nothing.
     DiscoverySilent,
     /// Discovery answers nonsense.
@@ -229,7 +237,7 @@
 impl FaultKind {
     /// Whether it concerns sidecars rather than servers.
     pub fn of_sidecars(self) -> bool {
-        matches!(self, Self::SidecarsKill | Self::SidecarsRoll | Self::SidecarsPause)
+        matches!(self, Self::SidecarsKill | Self::SidecarsRoll | Self::SidecarsPause | Self::SidecarsClock)
     }
 }
 
@@ -280,11 +288,15 @@
                     | FaultKind::ServersFail
                     | FaultKind::NetworkSlow
                     | FaultKind::NetworkResets
+                    | FaultKind::SidecarsClock
+                    | FaultKind::DatagramsLost
+                    | FaultKind::DatagramsRepeated
+                    | FaultKind::DatagramsLate
             );
             if sized != fault.size.is_some() || fault.size.is_some_and(|s| !(0.0..=1e4).contains(&s)) {
                 return wrong(
                     "fault",
-                    "size belongs to servers-slow, servers-fail, network-slow and network-resets",
+                    "size belongs to servers-slow, servers-fail, network-slow, network-resets, sidecars-clock and datagrams-*",
                 );
             }
             if (fault.kind == FaultKind::ZoneCut) != fault.way.is_some() {
--- /dev/null
+++ b/crates/lab/src/fronts.rs
@@ -0,0 +1,169 @@
+//! The addresses at which members of a fleet reach each other: what is sent to one's front goes through the network and
+//! arrives from the sender's own front. Changes with how datagrams between members are carried.
+
+use crate::net::Net;
+use crate::relay::{Datagrams, Link, datagram};
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::net::UdpSocket;
+use tokio::sync::{Semaphore, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{Duration, sleep};
+
+/// Datagrams under way at most; further ones are lost.
+const UNDER_WAY: usize = 8192;
+/// Pause after a failed receive.
+const PAUSE: Duration = Duration::from_millis(5);
+/// Longest datagram that passes.
+const LONGEST: usize = 65_536;
+/// Members that each one is told of at its start.
+const SEEDS: usize = 5;
+
+/// A member's two addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Address {
+    /// Where it listens itself.
+    pub own: SocketAddr,
+    /// Where others send, and where its datagrams come from.
+    pub front: SocketAddr,
+}
+
+/// All fronts of a play.
+pub struct Fronts {
+    /// Each member's.
+    pub addresses: Vec<Address>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Fronts {
+    /// Opens one for each of these zones' members, on hosts of the loopback range. They pass datagrams on until the
+    /// tasks are ended.
+    ///
+    /// # Errors
+    /// A socket cannot be had.
+    pub async fn open(
+        zones: &[usize],
+        host: impl Fn(usize) -> (IpAddr, IpAddr),
+        net: &Net,
+        faults: &watch::Receiver<Datagrams>,
+    ) -> io::Result<(Self, Vec<AbortHandle>)> {
+        let (mut sockets, mut addresses) = (Vec::new(), Vec::new());
+        for member in 0..zones.len() {
+            let (own, front) = host(member);
+            let socket = UdpSocket::bind((front, 0)).await?;
+            // A port that is free now, on a host of its own, is nobody else's a moment later.
+            let own = UdpSocket::bind((own, 0)).await?.local_addr()?;
+            addresses.push(Address { own, front: socket.local_addr()? });
+            sockets.push(socket);
+        }
+        let sockets = Arc::new(sockets);
+        let by_own: Arc<HashMap<SocketAddr, usize>> =
+            Arc::new(addresses.iter().enumerate().map(|(member, a)| (a.own, member)).collect());
+        let (zones, under_way) = (Arc::new(zones.to_vec()), Arc::new(Semaphore::new(UNDER_WAY)));
+        let (mut tasks, sent) = (Vec::new(), Arc::new(AtomicU64::new(0)));
+        for (to, address) in addresses.iter().enumerate() {
+            let (sockets, by_own, zones) = (Arc::clone(&sockets), Arc::clone(&by_own), Arc::clone(&zones));
+            let sent = Arc::clone(&sent);
+            let (net, faults, under_way, own) =
+                (net.clone(), faults.clone(), Arc::clone(&under_way), address.own);
+            let task = tokio::spawn(async move {
+                let mut bytes = vec![0; LONGEST];
+                loop {
+                    let Ok((length, from)) = sockets[to].recv_from(&mut bytes).await else {
+                        sleep(PAUSE).await;
+                        continue;
+                    };
+                    // Whoever is no member has no front, and so no way in.
+                    let Some(from) = by_own.get(&from).copied() else { continue };
+                    sent.fetch_add(length as u64, Ordering::Relaxed);
+                    let link = Link { net: net.clone(), from: zones[from], to: zones[to] };
+                    let faults = *faults.borrow();
+                    for delay in datagram(&link, faults) {
+                        let Ok(permit) = Arc::clone(&under_way).try_acquire_owned() else { break };
+                        let (sockets, piece) = (Arc::clone(&sockets), bytes[..length].to_vec());
+                        tokio::spawn(async move {
+                            sleep(delay).await;
+                            // Datagrams may be lost.
+                            let _ = sockets[from].send_to(&piece, own).await;
+                            drop(permit);
+                        });
+                    }
+                }
+            });
+            tasks.push(task.abort_handle());
+        }
+        Ok((Self { addresses, bytes: sent }, tasks))
+    }
+
+    /// Bytes of the datagrams that members have sent.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// What stands for `{fleet}` in the product configuration of a member whose clock is so many milliseconds off.
+    pub fn section(&self, member: usize, clock_offset_ms: i64) -> String {
+        section(&self.addresses, member, clock_offset_ms)
+    }
+}
+
+/// The lines of a `[fleet]` section that say where a member is and whom it asks for the others.
+pub fn section(addresses: &[Address], member: usize, clock_offset_ms: i64) -> String {
+    let Address { own, front } = addresses[member];
+    // Those after it, so that no few of them have to be there for all.
+    let seeds =
+        (1..addresses.len().min(SEEDS + 1)).map(|n| addresses[(member + n * n) % addresses.len()].front);
+    let seeds: Vec<String> = seeds.filter(|seed| *seed != front).map(|seed| format!("\"{seed}\"")).collect();
+    let clock =
+        if clock_offset_ms == 0 { String::new() } else { format!("clock_offset = {clock_offset_ms}\n") };
+    format!("listen = \"{own}\"\nadvertise = \"{front}\"\nseeds = [{}]\n{clock}", seeds.join(", "))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::{Network, Way};
+    use std::net::Ipv4Addr;
+    use tokio::time::timeout;
+
+    const LONG: Duration = Duration::from_secs(20);
+
+    #[tokio::test]
+    async fn members_know_each_other_by_their_fronts_and_a_cut_parts_zones() {
+        let net = Net::new(&Network::default());
+        let (_faults, told) = watch::channel(Datagrams::default());
+        let host = |_| (IpAddr::V4(Ipv4Addr::LOCALHOST), IpAddr::V4(Ipv4Addr::LOCALHOST));
+        let (fronts, _tasks) = Fronts::open(&[0, 1], host, &net, &told).await.expect("free ports");
+        let [a, b] = [fronts.addresses[0], fronts.addresses[1]];
+        let (one, two) =
+            (UdpSocket::bind(a.own).await.expect("its own"), UdpSocket::bind(b.own).await.expect("its own"));
+        let mut bytes = [0; 8];
+        one.send_to(&[1], b.front).await.expect("it goes out");
+        let (length, from) =
+            timeout(LONG, two.recv_from(&mut bytes)).await.expect("in time").expect("it comes");
+        assert_eq!((length, from), (1, a.front));
+        // What is sent into a cut, or by a stranger, never comes: the next to come is the one after.
+        net.cut(0, Way::Out, true);
+        one.send_to(&[2], b.front).await.expect("it goes out");
+        sleep(Duration::from_millis(20)).await;
+        net.cut(0, Way::Out, false);
+        let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        stranger.send_to(&[3], b.front).await.expect("it goes out");
+        sleep(Duration::from_millis(20)).await;
+        one.send_to(&[4], b.front).await.expect("it goes out");
+        timeout(LONG, two.recv_from(&mut bytes)).await.expect("in time").expect("it comes");
+        assert_eq!(bytes[0], 4);
+    }
+
+    #[test]
+    fn everyone_is_told_of_some_others() {
+        let at = |n: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, n));
+        let addresses: Vec<Address> = (1..=10).map(|n| Address { own: at(n), front: at(100 + n) }).collect();
+        let text = section(&addresses, 0, 2000);
+        assert!(text.contains("listen = \"127.0.0.1:1\"") && text.contains("clock_offset = 2000"), "{text}");
+        assert!(text.contains("\"127.0.0.1:102\"") && !text.contains("seeds = [\"127.0.0.1:101\""), "{text}");
+        assert!(!section(&addresses, 3, 0).contains("clock_offset"));
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 pub mod draw;
 pub mod experiment;
+pub mod fronts;
 pub mod live;
 pub mod net;
 pub mod outcome;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 use linenproxy_lab::play::{Launch, Progress, play};
 use linenproxy_lab::record::Record;
 use linenproxy_lab::report::{figure, html};
+use linenproxy_lab::supervisor::{Bringing, KEEP, READY_WITHIN, keep};
 use std::cell::Cell;
 use std::fmt::Display;
 use std::io::{IsTerminal, Write};
@@ -43,6 +44,14 @@
     Sim(Sim),
     /// Play an experiment with two builds side by side: the programs take the variants' place.
     Compare(Compare),
+    /// Become a program that ends with the lab, however that ends; the lab starts its sidecars by it.
+    #[command(name = KEEP, hide = true)]
+    Keep {
+        /// The lab's process.
+        parent: u32,
+        /// The program.
+        program: PathBuf,
+    },
     /// Read experiment files and say what is wrong with them.
     Check {
         /// The files.
@@ -89,6 +98,9 @@
     /// Print result.json instead of a table.
     #[arg(long)]
     json: bool,
+    /// How soon a sidecar must be ready after its start.
+    #[arg(long, default_value = "30s")]
+    ready_within: Time,
 }
 
 #[derive(Args)]
@@ -127,6 +139,9 @@
         Ok(call) => call,
         Err(exit) => return exit.into(),
     };
+    if let What::Keep { parent, program } = &call.what {
+        return say(&keep(*parent, program), Exit::Software).into();
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
@@ -169,7 +184,7 @@
     match what {
         What::Up(up) => bring_up(up).await,
         What::Run(run) => {
-            let launch = Some(Launch::Program(program(run.program)?));
+            let launch = Some(kept(program(run.program)?, run.played.ready_within));
             let experiment = read(&run.played.file)?;
             played(&experiment, &run.played, launch).await
         }
@@ -191,8 +206,9 @@
             };
             experiment.variant = vec![variant("old", &both.old), variant("new", &both.new)];
             experiment.bounds.measure.retain(|b| b.variant.is_none() && b.against.is_none());
-            played(&experiment, &both.played, Some(Launch::Program(both.new.clone()))).await
+            played(&experiment, &both.played, Some(kept(both.new.clone(), both.played.ready_within))).await
         }
+        What::Keep { .. } => Ok(Exit::Usage),
         What::Check { files } => {
             for file in &files {
                 read(file)?;
@@ -203,6 +219,12 @@
     }
 }
 
+/// Brings up a program so that it ends with this process.
+fn kept(program: PathBuf, within: Time) -> Launch {
+    let keeper = std::env::current_exe().ok();
+    Launch::Program(Bringing { program, keeper, within: within.0 })
+}
+
 fn read(file: &Path) -> Result<Experiment, Exit> {
     config::load(file).map_err(|problem| say(&problem, Exit::Config))
 }
@@ -323,7 +345,7 @@
     experiment.variant = vec![Variant { name: "up".to_owned(), program: None, config }];
     config::Configuration::check(&experiment)
         .map_err(|c| say(&format!("{}: {}", c.key, c.what), Exit::Usage))?;
-    let launch = Launch::Program(program(up.program)?);
+    let launch = kept(program(up.program)?, Time(READY_WITHIN));
     let folder = tempfile::tempdir().map_err(|e| say(&format!("cannot make a folder: {e}"), Exit::Io))?;
     let plan = Arc::new(draw(&experiment, fastrand::u64(..)));
     let (sender, _progress) = watch::channel(Progress::default());
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -24,6 +24,8 @@
     TurnedAway,
     /// Attempts of which nothing came, as the server was silent or had ended, for each request.
     Swallowed,
+    /// Attempts at servers that have been silent for 3 s or more, for each of them and second.
+    Trials,
     /// Connections made to servers, for each request.
     Handshakes,
     /// Probes for each request.
@@ -32,6 +34,8 @@
     Crossing,
     /// Work that warm keys have saved, over the work that would else have been done.
     WorkSaved,
+    /// Bytes of datagrams that a sidecar sends to others a second.
+    FleetBytes,
     /// Servers pushed over while cold.
     Fallen,
     /// Median time from a request's first try to its answer, in milliseconds.
@@ -46,7 +50,7 @@
 
 impl Measure {
     /// All of them.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 20] = [
         Self::Served,
         Self::ServedWorstClass,
         Self::ServedWorstSecond,
@@ -56,10 +60,12 @@
         Self::Attempts,
         Self::TurnedAway,
         Self::Swallowed,
+        Self::Trials,
         Self::Handshakes,
         Self::Probes,
         Self::Crossing,
         Self::WorkSaved,
+        Self::FleetBytes,
         Self::Fallen,
         Self::P50Ms,
         Self::P99Ms,
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -6,15 +6,17 @@
 use crate::audit::audit;
 use crate::draw::{Mood, Plan, Step};
 use crate::experiment::{Experiment, Variant};
+use crate::fronts::Fronts;
 use crate::net::{Clock, Net};
 use crate::record::{Record, Seen};
+use crate::relay::Datagrams;
 use crate::servers::Servers;
-use crate::supervisor::{Supervised, Told};
+use crate::supervisor::{Bringing, Supervised, Told};
 use crate::tally::{Beside, Tally, tally};
 use rustix::process::Signal;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,8 +30,8 @@
 /// What takes the sidecars' place.
 #[derive(Clone)]
 pub enum Launch {
-    /// Processes of this program.
-    Program(PathBuf),
+    /// Processes, brought up in this way.
+    Program(Bringing),
     /// Tasks of the lab's own.
     Within(Within),
 }
@@ -91,6 +93,8 @@
     net: Net,
     servers: Arc<Servers>,
     mood: watch::Sender<Mood>,
+    datagrams: watch::Sender<Datagrams>,
+    fronts: Option<Fronts>,
     sidecars: Vec<Sidecar>,
     /// Faults that take their time, such as a stop.
     under_way: Mutex<JoinSet<()>>,
@@ -151,9 +155,13 @@
     let record = stage.record.take();
     let (work, fallen) = stage.servers.with(|world, _, _| (world.work(), world.fallen().len()));
     let findings = audit(plan, &record);
-    Ok(tally(plan, &record, Beside { work, fallen, lateness }, findings))
+    let fleet_bytes = stage.fronts.as_ref().map_or(0, Fronts::bytes);
+    Ok(tally(plan, &record, Beside { work, fallen, lateness, fleet_bytes }, findings))
 }
 
+/// What stands in a variant's configuration for the addresses of a sidecar in its fleet.
+pub const FLEET: &str = "{fleet}";
+
 async fn build(
     experiment: &Experiment,
     plan: &Arc<Plan>,
@@ -171,6 +179,19 @@
     let (net, mood) = (Net::new(&experiment.network), watch::channel(Mood::Well).0);
     let servers =
         Servers::new(Arc::clone(plan), clock.clone(), record.clone(), experiment.topology.connections);
+    let datagrams = watch::channel(Datagrams::default()).0;
+    // Only who asks for a fleet has its sockets.
+    let fronts = match variant.config.contains(FLEET) {
+        true => {
+            let zones: Vec<usize> = plan.sidecars.iter().map(|spec| spec.zone).collect();
+            let hosts = |sidecar| (host(3, sidecar), host(4, sidecar));
+            let opened = Fronts::open(&zones, hosts, &net, &datagrams.subscribe()).await;
+            let (fronts, handles) = opened.map_err(io("no socket between sidecars"))?;
+            tasks.0.extend(handles);
+            Some(fronts)
+        }
+        false => None,
+    };
     let mut sidecars = Vec::new();
     for (sidecar, spec) in plan.sidecars.iter().enumerate() {
         let mut addresses = Vec::new();
@@ -193,11 +214,18 @@
         let listen = free(host(2, sidecar)).map_err(io("no address for a sidecar"))?;
         let told = Told::new((sidecar, plan.sidecars.len()), spec.zone, listen, discovery, agent.known());
         sidecars.push(match launch {
-            Launch::Program(program) => {
-                let program = variant.program.as_deref().unwrap_or(program);
+            Launch::Program(bringing) => {
+                let mut bringing = bringing.clone();
+                bringing.program = variant.program.clone().unwrap_or(bringing.program);
+                let program = bringing.program.clone();
+                let mut variant = variant.clone();
+                if let Some(fronts) = &fronts {
+                    let section = fronts.section(sidecar, spec.clock_offset_ms);
+                    variant.config = variant.config.replace(FLEET, &section);
+                }
                 let seed = plan.seed.wrapping_add(sidecar as u64);
                 let both = (clock.clone(), record.clone());
-                let supervised = Supervised::new(told, program, variant, folder, seed, both);
+                let supervised = Supervised::new(told, bringing, &variant, folder, seed, both);
                 let mut supervised = supervised.map_err(io("cannot write a sidecar's files"))?;
                 let cannot = || format!("cannot start {}", program.display());
                 supervised.start().map_err(|e| PlayError::Io(cannot(), e))?;
@@ -214,7 +242,7 @@
             process.lock().await.ready().await.map_err(|what| PlayError::Start(number, what))?;
         }
     }
-    Ok(Stage { clock, record, net, servers, mood, sidecars, under_way: Mutex::default() })
+    Ok(Stage { clock, record, net, servers, mood, datagrams, fronts, sidecars, under_way: Mutex::default() })
 }
 
 impl Sidecar {
@@ -242,6 +270,7 @@
             Step::Cut(zone, way, on) => self.net.cut(zone, way, on),
             Step::Slow(more) => self.net.slow(more),
             Step::Resets(share) => self.net.resets(share),
+            Step::Datagrams(kind, share) => self.datagrams.send_modify(|faults| faults.set(kind, share)),
             Step::Agents(mood) => drop(self.mood.send_replace(mood)),
             Step::SidecarPause(sidecar, on) => {
                 if let Some(process) = self.process(sidecar) {
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays between processes: everything passes late, not at all, or breaks, as the network has it. Changes with how
 //! that is done on sockets.
 
+use crate::experiment::FaultKind;
 use crate::net::Net;
 use socket2::SockRef;
 use std::io;
@@ -301,11 +302,37 @@
     pub held_up: f64,
 }
 
+impl Datagrams {
+    /// Takes in a fault, or its end.
+    pub fn set(&mut self, kind: FaultKind, share: f64) {
+        match kind {
+            FaultKind::DatagramsLost => self.lost = share,
+            FaultKind::DatagramsRepeated => self.repeated = share,
+            FaultKind::DatagramsLate => self.held_up = share,
+            _ => {}
+        }
+    }
+}
+
 /// How much later a datagram comes that is held up, at most.
-const HELD_UP: Duration = Duration::from_millis(100);
+pub const HELD_UP: Duration = Duration::from_millis(100);
 /// Datagrams under way at most; further ones are lost.
 const DATAGRAMS: usize = 1024;
 
+/// How late each copy of a datagram comes; none where it is lost.
+pub fn datagram(link: &Link, faults: Datagrams) -> Vec<Duration> {
+    if !link.net.passes(link.from, link.to) || fastrand::f64() < faults.lost {
+        return Vec::new();
+    }
+    let copies = if fastrand::f64() < faults.repeated { 2 } else { 1 };
+    let late = |_| {
+        let delay = Duration::from_micros(link.net.delay(link.from, link.to));
+        delay
+            + if fastrand::f64() < faults.held_up { HELD_UP.mul_f64(fastrand::f64()) } else { Duration::ZERO }
+    };
+    (0..copies).map(late).collect()
+}
+
 /// Passes datagrams from one process on to another as the network and `faults` have it: what arrives at `at` leaves
 /// from `out` to `to`. The receiver knows the sender by the address of `out`.
 pub async fn datagrams(
@@ -323,16 +350,8 @@
             continue;
         };
         let faults = *faults.borrow();
-        if !link.net.passes(link.from, link.to) || fastrand::f64() < faults.lost {
-            continue;
-        }
-        let copies = if fastrand::f64() < faults.repeated { 2 } else { 1 };
-        for _ in 0..copies {
+        for delay in datagram(&link, faults) {
             let Ok(permit) = Arc::clone(&under_way).try_acquire_owned() else { break };
-            let mut delay = Duration::from_micros(link.net.delay(link.from, link.to));
-            if fastrand::f64() < faults.held_up {
-                delay += HELD_UP.mul_f64(fastrand::f64());
-            }
             let (out, piece) = (Arc::clone(&out), bytes[..length].to_vec());
             tokio::spawn(async move {
                 sleep(delay).await;
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -5,8 +5,11 @@
 use crate::audit::audit;
 use crate::directory::{self, State};
 use crate::draw::{Plan, Step};
-use crate::experiment::{Experiment, Way};
+use crate::experiment::{Experiment, Variant, Way};
+use crate::fronts::{Address, section};
+use crate::play::FLEET;
 use crate::record::{Entry, Seen, Try};
+use crate::relay::{Datagrams, HELD_UP};
 use crate::servers::{arrival_of, try_number};
 use crate::site::{self, CLASSES, CLIENT_RETRIES, Repeat};
 use crate::tally::{Beside, Tally, tally};
@@ -15,10 +18,18 @@
 use linenproxy::settings::decode;
 use linenproxy::{
     Action, AttemptEnd, AttemptNo, Balancer, Event, ListUpdate, Listing, Load, Micros, NewRequest, Outcome,
-    RequestId, Status,
+    RequestId, Rest, Sharing, Status, Word,
 };
+use linenproxy_common::config::{self, Configuration, Contradiction, Problem};
+use linenproxy_fleet::core::{Core, Listed, TICK};
+use linenproxy_fleet::evidence::Sign;
+use linenproxy_fleet::section::FleetSection;
+use linenproxy_fleet::verdict;
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 
 /// The module's clock at the beginning of a play: far from 0, as Unix time is.
 const EPOCH: Micros = 1_000_000_000_000;
@@ -45,6 +56,10 @@
     TimeOut { instance: usize, request: RequestId, attempt: AttemptNo },
     /// A timer of the module's.
     Timer { instance: usize, token: u64 },
+    /// A datagram from another member has come.
+    Mail { instance: usize, number: u64 },
+    /// A member's clock beats.
+    Beat { instance: usize },
     /// The list has news for a sidecar.
     List(usize),
     /// A fault.
@@ -66,6 +81,7 @@
 struct Instance {
     sidecar: usize,
     balancer: Balancer,
+    member: Option<Box<Core>>,
     heard: usize,
     out: BTreeMap<(RequestId, AttemptNo), Out>,
     sends: BTreeMap<RequestId, AttemptNo>,
@@ -87,6 +103,40 @@
     attempt: u32,
 }
 
+/// What of a product configuration has a meaning here.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+struct Sections {
+    fleet: FleetSection,
+}
+
+impl Configuration for Sections {
+    fn check(&self) -> Result<(), Contradiction> {
+        self.fleet.check()
+    }
+}
+
+/// Where a sidecar's datagrams would arrive: nobody listens there.
+fn address(sidecar: usize) -> SocketAddr {
+    let [_, a, b, c] = (sidecar as u32 + 1).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, a, b, c), 7946))
+}
+
+/// Each sidecar's section, where the variant has any.
+fn sections(variant: &Variant, plan: &Plan) -> Result<Vec<FleetSection>, Problem> {
+    if !variant.config.contains(FLEET) {
+        return Ok(Vec::new());
+    }
+    let both = |sidecar| Address { own: address(sidecar), front: address(sidecar) };
+    let addresses: Vec<Address> = (0..plan.sidecars.len()).map(both).collect();
+    let name = Path::new(&variant.name);
+    let of = |(sidecar, spec): (usize, &crate::draw::SidecarSpec)| {
+        let text = variant.config.replace(FLEET, &section(&addresses, sidecar, spec.clock_offset_ms));
+        Ok(config::parse::<Sections>(name, &text)?.fleet)
+    };
+    plan.sidecars.iter().enumerate().map(of).collect()
+}
+
 struct Sim<'a> {
     experiment: &'a Experiment,
     plan: &'a Plan,
@@ -105,11 +155,27 @@
     resets: f64,
     rng: fastrand::Rng,
     record: Vec<Entry>,
+    sections: Vec<FleetSection>,
+    by_address: HashMap<SocketAddr, usize>,
+    faults: Datagrams,
+    /// Datagrams under way, with who sent them.
+    mail: HashMap<u64, (SocketAddr, Vec<u8>)>,
+    mailed: u64,
+    mailed_bytes: u64,
 }
 
 /// Plays it.
-pub fn simulate(experiment: &Experiment, plan: &Plan) -> Tally {
+///
+/// # Errors
+/// The variant's configuration cannot be used.
+pub fn simulate(experiment: &Experiment, plan: &Plan, variant: &Variant) -> Result<Tally, Problem> {
     let mut sim = Sim {
+        sections: sections(variant, plan)?,
+        by_address: (0..plan.sidecars.len()).map(|sidecar| (address(sidecar), sidecar)).collect(),
+        faults: Datagrams::default(),
+        mail: HashMap::new(),
+        mailed: 0,
+        mailed_bytes: 0,
         experiment,
         plan,
         now: 0,
@@ -145,7 +211,8 @@
     let mut record = sim.record;
     record.sort_by_key(|(at, _)| *at);
     let findings = audit(plan, &record);
-    tally(plan, &record, Beside { work, fallen, lateness: 0 }, findings)
+    let fleet_bytes = sim.mailed_bytes;
+    Ok(tally(plan, &record, Beside { work, fallen, lateness: 0, fleet_bytes }, findings))
 }
 
 impl Sim<'_> {
@@ -178,11 +245,17 @@
     }
 
     fn happen(&mut self, what: What) {
+        let mail = match what {
+            What::Mail { number, .. } if self.instance_runs(&what) => self.mail.remove(&number),
+            _ => None,
+        };
         let instance = match what {
             What::Reach { instance, .. }
             | What::Back { instance, .. }
             | What::TimeOut { instance, .. }
-            | What::Timer { instance, .. } => Some(instance),
+            | What::Timer { instance, .. }
+            | What::Mail { instance, .. }
+            | What::Beat { instance } => Some(instance),
             _ => None,
         };
         if let Some(instance) = instance.map(|i| &mut self.instances[i]) {
@@ -205,6 +278,17 @@
             }
             What::TimeOut { instance, request, attempt } => self.timed_out(instance, request, attempt),
             What::Timer { instance, token } => self.tell(instance, Event::Timer(token)),
+            What::Mail { instance, .. } => {
+                if let Some((from, bytes)) = mail {
+                    self.member(instance, |core, now| core.datagram(now, from, &bytes));
+                }
+            }
+            What::Beat { instance } => {
+                self.member(instance, Core::tick);
+                if self.instances[instance].member.is_some() {
+                    self.at(self.now + TICK as Us, What::Beat { instance });
+                }
+            }
             What::List(sidecar) => self.listed(sidecar),
             What::Fault(number) => self.fault(self.plan.steps[number].1),
             What::Return(sidecar) => {
@@ -232,6 +316,65 @@
         base + self.rng.u64(0..=us(network.jitter)) + self.slow
     }
 
+    // ---- The fleet ----
+
+    /// Whether what it concerns takes it in now: neither dead nor stopped.
+    fn instance_runs(&self, what: &What) -> bool {
+        let What::Mail { instance, .. } = what else { return false };
+        let i = &self.instances[*instance];
+        i.dead || i.frozen.is_none()
+    }
+
+    /// Does something with an instance's member, and tells its module of the words that come of it.
+    fn member(&mut self, instance: usize, what: impl FnOnce(&mut Core, Micros)) {
+        let words = self.with_member(instance, what);
+        if !words.is_empty() {
+            self.tell(instance, Event::Words(words));
+        }
+    }
+
+    fn with_member(&mut self, instance: usize, what: impl FnOnce(&mut Core, Micros)) -> Vec<Word> {
+        let sidecar = self.instances[instance].sidecar;
+        let offset = Micros::from(self.plan.sidecars[sidecar].clock_offset_ms) * 1000;
+        let now = EPOCH + self.now as Micros + offset;
+        let Some(core) = self.instances[instance].member.as_deref_mut() else { return Vec::new() };
+        what(core, now);
+        let effects = core.effects();
+        for (to, bytes) in effects.datagrams {
+            self.post(sidecar, to, bytes);
+        }
+        let word = |word: linenproxy_fleet::core::Word| Word {
+            endpoint: word.endpoint,
+            rest: match word.rest {
+                verdict::Rest::No => Rest::No,
+                verdict::Rest::Yes => Rest::Yes,
+                verdict::Rest::Trial => Rest::Trial,
+                verdict::Rest::Over => Rest::Over,
+            },
+            until: word.until - offset,
+        };
+        effects.words.into_iter().map(word).collect()
+    }
+
+    fn post(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
+        self.mailed_bytes += bytes.len() as u64;
+        let Some(to) = self.by_address.get(&to).copied() else { return };
+        let (from_zone, to_zone) = (self.plan.sidecars[from].zone, self.plan.sidecars[to].zone);
+        let Some(instance) = self.current[to] else { return };
+        if !self.passes(from_zone, to_zone) || self.rng.f64() < self.faults.lost {
+            return;
+        }
+        let copies = if self.rng.f64() < self.faults.repeated { 2 } else { 1 };
+        for _ in 0..copies {
+            let held_up = self.rng.f64() < self.faults.held_up;
+            let held_up = if held_up { (self.rng.f64() * HELD_UP.as_micros() as f64) as Us } else { 0 };
+            let at = self.now + self.delay(from_zone, to_zone) + held_up;
+            self.mailed += 1;
+            self.mail.insert(self.mailed, (address(from), bytes.clone()));
+            self.at(at, What::Mail { instance, number: self.mailed });
+        }
+    }
+
     // ---- Clients ----
 
     fn ask(&mut self, arrival: usize, attempt: u32) {
@@ -305,10 +448,24 @@
         let number = self.instances.len();
         let seed = self.plan.seed.wrapping_add((number as u64) << 20);
         let decoded = decode(&settings.to_string()).ok();
-        let Some(balancer) = decoded.and_then(|d| Balancer::new(d.settings, seed).ok()) else { return };
+        let Some(mut balancer) = decoded.and_then(|d| Balancer::new(d.settings, seed).ok()) else { return };
+        let member = self.sections.get(sidecar).filter(|section| section.enabled).map(|section| {
+            let ahead = if section.affinity.enabled { section.affinity.ahead } else { 0.0 };
+            balancer.share(Sharing { words: section.verdicts.enabled, ahead });
+            let spec = &self.plan.sidecars[sidecar];
+            let now = EPOCH + self.now as Micros + Micros::from(spec.clock_offset_ms) * 1000;
+            let (name, zone) = (format!("n{sidecar}"), site::ZONES[spec.zone % site::ZONES.len()]);
+            Box::new(Core::new(section, &name, zone, now.unsigned_abs(), seed, now))
+        });
+        if member.is_some() {
+            // Members' clocks do not beat together.
+            let beat = self.now + self.rng.u64(0..TICK as Us);
+            self.at(beat, What::Beat { instance: number });
+        }
         self.instances.push(Instance {
             sidecar,
             balancer,
+            member,
             heard: 0,
             out: BTreeMap::new(),
             sends: BTreeMap::new(),
@@ -317,11 +474,26 @@
             dead: false,
         });
         self.current[sidecar] = Some(number);
+        self.list_for_member(number, 0);
         let known = self.listings(&self.plan.directory.whole(0));
         self.tell(number, Event::Endpoints(ListUpdate::Cached(known)));
         self.listed(sidecar);
     }
 
+    fn list_for_member(&mut self, instance: usize, heard: usize) {
+        if self.instances[instance].member.is_none() {
+            return;
+        }
+        let listed = |l: Listing| Listed {
+            endpoint: l.endpoint,
+            name: self.plan.servers[l.endpoint].name.clone(),
+            started: l.started,
+            ready: l.status == Status::Ready,
+        };
+        let list = self.listings(&self.plan.directory.whole(heard)).into_iter().map(listed).collect();
+        self.member(instance, |core, now| core.listed(now, list));
+    }
+
     fn listings(&self, entries: &[(usize, State)]) -> Vec<Listing> {
         let listing = |(server, state): &(usize, State)| {
             let spec = &self.plan.servers[*server];
@@ -338,6 +510,7 @@
                 status,
                 size: directory::weight(spec),
                 started,
+                alias: *server as u64,
             }
         };
         entries.iter().map(listing).collect()
@@ -358,6 +531,7 @@
                 }
             }
             let listings = self.listings(&entries);
+            self.list_for_member(number, heard);
             self.tell_or_wait(number, Event::Endpoints(ListUpdate::Delta(listings)));
         }
         if let Some(next) = self.plan.directory.next(heard, lag) {
@@ -388,6 +562,13 @@
                         self.at(self.now + after.max(0) as Us, What::Timer { instance, token });
                     }
                     Action::CloseIdle(endpoint) => drop(self.instances[instance].idle.remove(&endpoint)),
+                    Action::Witness { endpoint, served } => {
+                        let sign = if served { Sign::Well } else { Sign::Sick };
+                        let words = self.with_member(instance, |core, now| core.witness(now, endpoint, sign));
+                        if !words.is_empty() {
+                            events.push_back(Event::Words(words));
+                        }
+                    }
                     Action::Probe(_)
                     | Action::Subscribe(_)
                     | Action::FetchList
@@ -554,6 +735,7 @@
             }
             Step::Slow(more) => self.slow = more,
             Step::Resets(share) => self.resets = share,
+            Step::Datagrams(kind, share) => self.faults.set(kind, share),
             // Its list is drawn ahead here, and a call that fails changes nothing.
             Step::Agents(_) => {}
             Step::SidecarKill(sidecar) => {
@@ -576,7 +758,10 @@
             Step::SidecarStart(sidecar) => self.at(self.now, What::Return(sidecar)),
             Step::SidecarRestart(sidecar) => {
                 // What it has it still answers.
-                self.current[sidecar] = None;
+                if let Some(instance) = self.current[sidecar].take() {
+                    self.member(instance, Core::leave);
+                    self.instances[instance].member = None;
+                }
                 self.note(Seen::SidecarTold { sidecar });
                 self.at(self.now + AWAY, What::Return(sidecar));
             }
@@ -639,7 +824,8 @@
         let experiment = experiment(Some(FaultKind::ServersSilent));
         let bytes = |seed| {
             let plan = draw(&experiment, seed);
-            serde_json::to_string(&simulate(&experiment, &plan)).expect("it can be written")
+            let tally = simulate(&experiment, &plan, &Variant::default()).expect("it can be played");
+            serde_json::to_string(&tally).expect("it can be written")
         };
         assert_eq!(bytes(5), bytes(5));
         assert_ne!(bytes(5), bytes(6));
@@ -662,7 +848,8 @@
         for kind in kinds {
             let experiment = experiment(kind);
             for seed in 1..4 {
-                let tally = simulate(&experiment, &draw(&experiment, seed));
+                let tally = simulate(&experiment, &draw(&experiment, seed), &Variant::default());
+                let tally = tally.expect("it can be played");
                 let (findings, served) = (&tally.findings, tally.measures[&Measure::Served]);
                 assert!(findings.is_empty(), "{kind:?}, seed {seed}: {findings:?}");
                 let least = if kind.is_none() { 0.9 } else { 0.5 };
--- a/crates/lab/src/supervisor.rs
+++ b/crates/lab/src/supervisor.rs
@@ -5,7 +5,7 @@
 use crate::net::Clock;
 use crate::record::{Record, Seen};
 use crate::site;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, getppid, kill_process, set_parent_process_death_signal};
 use serde_json::json;
 use std::fs::{self, File, OpenOptions};
 use std::io;
@@ -22,7 +22,7 @@
 const SOCKETS: usize = 640;
 /// See [`SOCKETS`].
 const MEMORY_MB: usize = 96;
-/// A sidecar that is not ready after this has failed to start.
+/// A sidecar that is not ready after this has failed to start, unless something else was said.
 pub const READY_WITHIN: Duration = Duration::from_secs(30);
 /// Pause between two looks at a sidecar that starts.
 const LOOK: Duration = Duration::from_millis(5);
@@ -61,10 +61,58 @@
     }
 }
 
+/// How a sidecar's process is brought up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bringing {
+    /// The program.
+    pub program: PathBuf,
+    /// A lab's program through which it is started, so that it ends with the lab however that ends; see [`keep`].
+    pub keeper: Option<PathBuf>,
+    /// It must be ready within this.
+    pub within: Duration,
+}
+
+impl Bringing {
+    /// Brings up that program, by itself and with the usual patience.
+    pub fn plain(program: PathBuf) -> Self {
+        Self { program, keeper: None, within: READY_WITHIN }
+    }
+
+    fn command(&self) -> Command {
+        match &self.keeper {
+            Some(keeper) => {
+                let mut command = Command::new(keeper);
+                command.arg(KEEP).arg(std::process::id().to_string()).arg(&self.program);
+                command
+            }
+            None => Command::new(&self.program),
+        }
+    }
+}
+
+/// The word that makes the lab's program a keeper.
+pub const KEEP: &str = "keep";
+
+/// Becomes `program`, in a process that the system kills when the lab, which must be process `parent`, has ended: a
+/// lab that is itself killed can end nothing any more.
+///
+/// # Errors
+/// The lab has ended already, or the program cannot be started. It does not come back otherwise.
+pub fn keep(parent: u32, program: &Path) -> io::Error {
+    if let Err(e) = set_parent_process_death_signal(Some(Signal::KILL)) {
+        return e.into();
+    }
+    // Where the lab ended before that was said, nobody will say so any more.
+    if getppid().map(Pid::as_raw_pid).and_then(|id| u32::try_from(id).ok()) != Some(parent) {
+        return io::Error::other("the lab has ended");
+    }
+    std::os::unix::process::CommandExt::exec(&mut std::process::Command::new(program))
+}
+
 /// One sidecar's process, over all its lives.
 pub struct Supervised {
     told: Told,
-    program: PathBuf,
+    bringing: Bringing,
     product: Option<PathBuf>,
     platform: PathBuf,
     log: PathBuf,
@@ -81,7 +129,7 @@
     /// A file cannot be written.
     pub fn new(
         told: Told,
-        program: &Path,
+        bringing: Bringing,
         variant: &Variant,
         folder: &Path,
         seed: u64,
@@ -98,8 +146,7 @@
         };
         let (platform, log) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
         File::create(&log)?;
-        let program = program.to_owned();
-        Ok(Self { told, program, product, platform, log, seed, child: None, clock, record })
+        Ok(Self { told, bringing, product, platform, log, seed, child: None, clock, record })
     }
 
     /// Its process, while one runs.
@@ -118,7 +165,7 @@
         platform["seed"] = json!(format!("{:016x}", self.seed));
         fs::write(&self.platform, platform.to_string())?;
         let log = OpenOptions::new().append(true).open(&self.log)?;
-        let mut command = Command::new(&self.program);
+        let mut command = self.bringing.command();
         command
             .env_clear()
             .env("LB_CONFIG", &self.platform)
@@ -141,13 +188,13 @@
     /// # Errors
     /// It has ended, or is not ready in time.
     pub async fn ready(&mut self) -> Result<(), String> {
-        let until = Instant::now() + READY_WITHIN;
+        let until = Instant::now() + self.bringing.within;
         while !up(self.told.listen).await {
             if let Some(status) = self.ended() {
                 return Err(format!("ended as it started: {status}; {}", self.last_line()));
             }
             if Instant::now() > until {
-                return Err(format!("was not ready within {} s", READY_WITHIN.as_secs()));
+                return Err(format!("was not ready within {:.1} s", self.bringing.within.as_secs_f64()));
             }
             sleep(LOOK).await;
         }
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -1,7 +1,7 @@
 //! Turns the record of one play into figures and curves. Changes with how a figure is counted.
 
 use crate::audit::Finding;
-use crate::draw::Plan;
+use crate::draw::{Plan, Step};
 use crate::outcome::Measure;
 use crate::record::{Entry, Seen, Try};
 use crate::site::CLASSES;
@@ -17,6 +17,8 @@
     pub work: (f64, f64),
     /// Servers pushed over while cold.
     pub fallen: usize,
+    /// Bytes of datagrams that sidecars sent each other.
+    pub fleet_bytes: u64,
     /// How late requests left the lab, one in a hundred, in microseconds.
     pub lateness: Us,
 }
@@ -55,6 +57,35 @@
     if whole > 0.0 { part / whole } else { 0.0 }
 }
 
+/// A server that has been silent for so long is known to be: what it is sent from then on are trials.
+const KNOWN_AFTER: Us = 3 * SECOND;
+
+/// Attempts at silent servers that were known to be, for each of them and second.
+fn trials(plan: &Plan, record: &[Entry]) -> f64 {
+    let mut silent: Vec<(usize, Us, Us)> = Vec::new();
+    for (at, step) in &plan.steps {
+        match step {
+            Step::ServerSilent(server, true) => silent.push((*server, at + KNOWN_AFTER, Us::MAX)),
+            Step::ServerSilent(server, false) => {
+                silent
+                    .iter_mut()
+                    .filter(|(s, ..)| s == server)
+                    .for_each(|(.., until)| *until = (*until).min(*at));
+            }
+            _ => {}
+        }
+    }
+    silent.iter_mut().for_each(|(.., until)| *until = (*until).min(plan.lasts));
+    let time: Us = silent.iter().map(|(_, from, until)| until.saturating_sub(*from)).sum();
+    let trial = |(at, seen): &&Entry| match seen {
+        Seen::Attempt { server, .. } => {
+            silent.iter().any(|(s, from, until)| s == server && (from..until).contains(&at))
+        }
+        _ => false,
+    };
+    share(record.iter().filter(trial).count() as f64, time as f64 / SECOND as f64)
+}
+
 /// Counts a play.
 pub fn tally(plan: &Plan, record: &[Entry], beside: Beside, findings: Vec<Finding>) -> Tally {
     let counted = |at: Us| at >= plan.warmup;
@@ -144,10 +175,15 @@
         (Measure::Attempts, share(attempts, requests)),
         (Measure::TurnedAway, share(turned, requests)),
         (Measure::Swallowed, share(swallowed, requests)),
+        (Measure::Trials, trials(plan, record)),
         (Measure::Handshakes, share(handshakes, requests)),
         (Measure::Probes, share(probes, requests)),
         (Measure::Crossing, share(crossing, attempts)),
         (Measure::WorkSaved, share(beside.work.1, beside.work.0 + beside.work.1)),
+        (
+            Measure::FleetBytes,
+            share(beside.fleet_bytes as f64, plan.sidecars.len() as f64 * plan.lasts as f64 / SECOND as f64),
+        ),
         (Measure::Fallen, beside.fallen as f64),
         (Measure::P50Ms, at(50.0)),
         (Measure::P99Ms, at(99.0)),
--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -7,6 +7,7 @@
 use linenproxy_lab::outcome::Measure;
 use linenproxy_lab::play::{Launch, Progress, play};
 use linenproxy_lab::record::Record;
+use linenproxy_lab::supervisor::Bringing;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 use std::sync::Arc;
@@ -38,7 +39,7 @@
     ];
     let plan = Arc::new(draw(&experiment, 7));
     let folder = tempfile::tempdir().expect("a folder");
-    let launch = Launch::Program(program("tinflow"));
+    let launch = Launch::Program(Bringing::plain(program("tinflow")));
     let (sender, _progress) = watch::channel(Progress::default());
     let record = Record::default();
     let played =
@@ -55,13 +56,48 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn three_sidecars_keep_the_rules_through_pauses_resets_errors_moods_and_a_roll() {
+    let mut experiment = Experiment { name: "troubled".to_owned(), ..Experiment::default() };
+    (experiment.topology.sidecars, experiment.topology.servers) = (3, 6);
+    (experiment.load.lasts, experiment.load.warmup, experiment.load.work) =
+        (Time::ms(9000), Time::ms(0), 0.3);
+    let sized = |kind, at, lasts, size| Fault { size: Some(size), ..fault(kind, at, lasts) };
+    experiment.fault = vec![
+        Fault { part: Some(0.3), ..fault(FaultKind::SidecarsPause, 500, 700) },
+        sized(FaultKind::NetworkResets, 1500, 700, 0.1),
+        Fault { part: Some(0.5), ..sized(FaultKind::ServersFail, 2500, 700, 0.5) },
+        fault(FaultKind::DiscoverySilent, 3500, 400),
+        fault(FaultKind::DiscoveryGarbled, 4200, 400),
+        fault(FaultKind::DiscoveryEmpty, 4900, 400),
+        sized(FaultKind::NetworkSlow, 5500, 300, 40.0),
+        fault(FaultKind::SidecarsRoll, 6000, 2000),
+    ];
+    let plan = Arc::new(draw(&experiment, 11));
+    let folder = tempfile::tempdir().expect("a folder");
+    let launch = Launch::Program(Bringing::plain(program("tinflow")));
+    let (sender, _progress) = watch::channel(Progress::default());
+    let record = Record::default();
+    let played =
+        play(&experiment, &plan, &Variant::default(), &launch, folder.path(), &sender, &record).await;
+    let tally = played.expect("it is played");
+    assert_eq!(tally.findings, []);
+    // Each sidecar was told to stop by the roll, came back, and was told again at the end.
+    for sidecar in 0..3 {
+        let log =
+            std::fs::read_to_string(folder.path().join(format!("n{sidecar}.log"))).expect("its log is kept");
+        assert_eq!(log.matches("tinflow: told to stop\n").count(), 2, "sidecar {sidecar}: {log}");
+    }
+    assert!(tally.measures[&Measure::Attempts] > 0.5, "{:?}", tally.measures);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_sidecar_that_does_not_start_ends_the_play_with_its_last_words() {
     let experiment = Experiment { name: "short".to_owned(), ..Experiment::default() };
     let plan = Arc::new(draw(&experiment, 7));
     let folder = tempfile::tempdir().expect("a folder");
     let variant = Variant { config: "[metrics]\nadress = \"\"\n".to_owned(), ..Variant::default() };
-    let launch = Launch::Program(program("tinflow"));
+    let launch = Launch::Program(Bringing::plain(program("tinflow")));
     let (sender, _progress) = watch::channel(Progress::default());
     let played =
         play(&experiment, &plan, &variant, &launch, folder.path(), &sender, &Record::default()).await;
--- a/src/api.rs
+++ b/src/api.rs
@@ -285,6 +285,8 @@
     pub size: f64,
     /// When it last started; `None` is long ago.
     pub started: Option<Micros>,
+    /// A number for its name, the same at every instance; only affinity of keys asks for it.
+    pub alias: u64,
 }
 
 /// What a list event holds.
@@ -383,9 +385,35 @@
     pub load: Load,
 }
 
+/// What the word of other instances makes of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    /// Nothing: the instance decides alone.
+    No,
+    /// It gets nothing for now.
+    Yes,
+    /// It rests, and this instance may send it a request to see how it is.
+    Trial,
+    /// It has rested, and others that tried it were served.
+    Over,
+}
+
+/// The word of other instances on an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// What it comes to.
+    pub rest: Rest,
+    /// From then on it counts as never said.
+    pub until: Micros,
+}
+
 /// What an instance is told.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// Words of other instances that have changed.
+    Words(Vec<Word>),
     /// News of the endpoint list.
     Endpoints(ListUpdate),
     /// A client's request; it is owed exactly one final answer.
@@ -432,6 +460,8 @@
     pub ready: usize,
     /// Those of them whose circuit is open.
     pub circuits_open: usize,
+    /// Those of them that rest by others' word.
+    pub resting: usize,
     /// Requests that wait for an endpoint with room.
     pub queued: usize,
     /// Requests given up since the start: shed, waiting, failing.
@@ -488,6 +518,13 @@
         /// The content.
         bytes: Vec<u8>,
     },
+    /// Tell others that an attempt at an endpoint was served, or was not.
+    Witness {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// It was served.
+        served: bool,
+    },
     /// One line for the people on call.
     Log(String),
 }
--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -12,6 +12,9 @@
 
 /// Everything that a sidecar is told.
 pub struct Config {
+    /// Its name; empty where it has none.
+    #[cfg(feature = "product")]
+    pub name: String,
     /// Where the application connects.
     pub listen: SocketAddr,
     /// Discovery.
@@ -36,6 +39,9 @@
 
 #[derive(Deserialize)]
 struct File {
+    #[cfg(feature = "product")]
+    #[serde(default)]
+    name: String,
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
     #[serde(default)]
@@ -109,6 +115,8 @@
             return Err(format!("limits: sockets must be {FEWEST_SOCKETS} or more"));
         }
         Ok(Self {
+            #[cfg(feature = "product")]
+            name: std::env::var("LB_NAME").unwrap_or(file.name),
             listen: listen.or(file.listen).ok_or("no address to listen on")?,
             discovery: discovery(file.discovery).ok_or("no address of discovery")?,
             seed: seed(&file.seed),
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -11,7 +11,7 @@
 use crate::messages::Survey;
 use crate::messages::{Answer, Ended, Input, Inputs, Outgoing};
 use crate::peers::Peers;
-use crate::product::Observer;
+use crate::product::{Fleet, Observer};
 use crate::report::say;
 use crate::spaced::{Spaced, left_out};
 use crate::upstream::Upstream;
@@ -70,8 +70,12 @@
     events: VecDeque<Event>,
     complaints: Spaced,
     observer: Observer,
+    fleet: Option<Fleet>,
 }
 
+/// What an engine is made of besides its configuration: its inputs, its clock, its membership in a fleet.
+pub type Parts = (Inputs, mpsc::UnboundedReceiver<Input>, Clock, Option<Fleet>);
+
 impl Engine {
     /// Starts the module with the list as last known, and the tasks that serve it.
     pub fn new(
@@ -79,16 +83,18 @@
         peers: Option<Peers>,
         discovery_at: watch::Receiver<SocketAddr>,
         observer: Observer,
+        (sender, inputs, clock, fleet): Parts,
     ) -> Result<(Self, Handle), String> {
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
         let most = Limits::of(config.sockets).upstream;
         let upstream = Rc::new(Upstream::new(most, limits.dial_timeout, decoded.idle_close));
         let pushed = decoded.settings.discovery == Discovery::Pushed;
-        let balancer = Balancer::new(decoded.settings, config.seed).map_err(|e| e.to_string())?;
-        let (sender, inputs) = Inputs::channel();
+        let mut balancer = Balancer::new(decoded.settings, config.seed).map_err(|e| e.to_string())?;
+        if let Some(fleet) = &fleet {
+            balancer.share(fleet.sharing());
+        }
         let (asks, asked) = mpsc::unbounded_channel();
-        let clock = Clock::new();
         let mut engine = Self {
             balancer,
             clock,
@@ -106,6 +112,7 @@
             events: VecDeque::new(),
             complaints: Spaced::new(COMPLAINT_SPACING),
             observer,
+            fleet,
         };
         spawn_local(upstream.retire_idle());
         let known = config.known.as_ref().map(|list| list.index);
@@ -193,6 +200,8 @@
                 // Whoever asked may have left.
                 let _ = reply.send(Survey { census: self.balancer.census(), open, attempts });
             }
+            #[cfg(feature = "product")]
+            Input::Words(words) => self.deliver(Event::Words(words)),
             Input::Peer(from, bytes, _permit) => self.deliver(Event::PeerMessage { from, bytes }),
         }
     }
@@ -226,12 +235,16 @@
                 status,
                 size: host.weight,
                 started: Some(host.since_ms.saturating_mul(1000)).filter(|at| *at != 0),
+                alias: self.fleet.as_ref().map_or(0, |fleet| fleet.alias(&host.name)),
             });
         }
         if full {
             let listed: HashSet<usize> = listings.iter().map(|l| l.endpoint).collect();
             self.upstream.keep_only(&listed);
         }
+        if let Some(fleet) = &self.fleet {
+            fleet.listed(full, &listings, |id| self.endpoints.name(id));
+        }
         listings
     }
 
@@ -327,6 +340,11 @@
                     peers.tell(to, &bytes);
                 }
             }
+            Action::Witness { endpoint, served } => {
+                if let Some(fleet) = &self.fleet {
+                    fleet.witness(endpoint, served);
+                }
+            }
             Action::Log(text) => say!(info, "tinflow::balancer", "{text}"),
         }
     }
--- /dev/null
+++ b/src/bin/tinflow/fleet.rs
@@ -0,0 +1,101 @@
+//! Hosts this sidecar's membership in its fleet: the list and what was seen go in, words come out. Changes with how the
+//! sidecar and the fleet's member talk to each other.
+
+use crate::clock::Clock;
+use crate::messages::{Input, Inputs};
+use linenproxy::{EndpointId, Listing, Micros, Rest, Sharing, Status, Word};
+use linenproxy_fleet::core::{Census, Listed};
+use linenproxy_fleet::evidence::Sign;
+use linenproxy_fleet::section::FleetSection;
+use linenproxy_fleet::{hash, udp, verdict};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use tokio::task::spawn_local;
+
+/// The membership.
+#[derive(Clone)]
+pub struct Fleet {
+    member: udp::Fleet,
+    list: Rc<RefCell<BTreeMap<EndpointId, Listed>>>,
+    sharing: Sharing,
+}
+
+impl Fleet {
+    /// Becomes a member under that name.
+    pub fn join(
+        section: &FleetSection,
+        name: &str,
+        zone: &str,
+        inputs: &Inputs,
+        clock: Clock,
+    ) -> io::Result<Self> {
+        let inputs = inputs.clone();
+        let told = Rc::new(move |words: Vec<linenproxy_fleet::core::Word>| {
+            inputs.send(Input::Words(words.into_iter().map(word).collect()));
+        });
+        let member = udp::Fleet::bind(section, name, zone, Rc::new(move || clock.now()), told)?;
+        spawn_local(member.clone().run());
+        let ahead = if section.affinity.enabled { section.affinity.ahead } else { 0.0 };
+        let sharing = Sharing { words: section.verdicts.enabled, ahead };
+        Ok(Self { member, list: Rc::default(), sharing })
+    }
+
+    /// What the module is to share.
+    pub fn sharing(&self) -> Sharing {
+        self.sharing
+    }
+
+    /// The number of a name, the same at every member.
+    pub fn alias(&self, name: &str) -> u64 {
+        hash(name)
+    }
+
+    /// The list, or a part of it that has changed.
+    pub fn listed<'a>(&self, full: bool, listings: &[Listing], name: impl Fn(EndpointId) -> &'a str) {
+        let mut list = self.list.borrow_mut();
+        if full {
+            list.clear();
+        }
+        for l in listings {
+            let (endpoint, started, ready) = (l.endpoint, l.started, l.status == Status::Ready);
+            match l.status {
+                Status::Gone => drop(list.remove(&endpoint)),
+                _ => {
+                    drop(list.insert(
+                        endpoint,
+                        Listed { endpoint, name: name(endpoint).to_owned(), started, ready },
+                    ))
+                }
+            }
+        }
+        self.member.listed(list.values().cloned().collect());
+    }
+
+    /// An attempt was served, or was not.
+    pub fn witness(&self, endpoint: EndpointId, served: bool) {
+        self.member.witness(endpoint, if served { Sign::Well } else { Sign::Sick });
+    }
+
+    /// Tells the others that this one ends.
+    pub fn leave(&self) {
+        self.member.leave();
+    }
+
+    /// What on-call wants to see.
+    pub fn census(&self) -> Census {
+        self.member.census()
+    }
+}
+
+fn word(word: linenproxy_fleet::core::Word) -> Word {
+    let rest = match word.rest {
+        verdict::Rest::No => Rest::No,
+        verdict::Rest::Yes => Rest::Yes,
+        verdict::Rest::Trial => Rest::Trial,
+        verdict::Rest::Over => Rest::Over,
+    };
+    let until: Micros = word.until;
+    Word { endpoint: word.endpoint, rest, until }
+}
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -7,6 +7,8 @@
 mod descriptors;
 mod discovery;
 mod engine;
+#[cfg(feature = "product")]
+mod fleet;
 mod handle;
 mod hosts;
 mod inbound;
@@ -21,9 +23,11 @@
 mod stop;
 mod upstream;
 
+use clock::Clock;
 use config::Config;
 use descriptors::Limits;
 use engine::Engine;
+use messages::Inputs;
 use product::Product;
 use report::say;
 use std::net::SocketAddr;
@@ -93,8 +97,12 @@
     let (discovery, discovery_at) = watch::channel(config.discovery);
     let fixed = config.fixed.clone();
     let observer = product.observer(&config.decoded.classes);
-    let (engine, handle) = Engine::new(config, peers, discovery_at, observer.clone()).map_err(failed)?;
-    product.host(&observer, handle.inputs())?;
+    let ((inputs, arriving), clock) = (Inputs::channel(), Clock::new());
+    let fleet = product.join(&config, &inputs, clock)?;
+    let parts = (inputs, arriving, clock, fleet.clone());
+    let (engine, handle) =
+        Engine::new(config, peers, discovery_at, observer.clone(), parts).map_err(failed)?;
+    product.host(&observer, handle.inputs(), fleet.as_ref())?;
     let (stop, stopped) = watch::channel(Stop::No);
     let mut running = spawn_local(engine.run());
     let accepting = spawn_local(inbound::accept(listener, limits, lanes, handle, stopped));
@@ -113,6 +121,9 @@
     }
     let told = tokio::time::Instant::now();
     say!(info, "tinflow", "told to stop");
+    if let Some(fleet) = &fleet {
+        fleet.leave();
+    }
     stop.send_replace(Stop::Closing);
     sleep(ACCEPT_AFTER_TERM).await;
     stop.send_replace(Stop::Closed);
--- a/src/bin/tinflow/messages.rs
+++ b/src/bin/tinflow/messages.rs
@@ -33,6 +33,9 @@
     /// Somebody measures.
     #[cfg(feature = "product")]
     Survey(oneshot::Sender<Survey>),
+    /// The fleet's words have changed.
+    #[cfg(feature = "product")]
+    Words(Vec<linenproxy::Word>),
     /// A datagram from a peer.
     Peer(u32, Vec<u8>, OwnedSemaphorePermit),
 }
--- a/src/bin/tinflow/observer.rs
+++ b/src/bin/tinflow/observer.rs
@@ -171,6 +171,35 @@
         }
     }
 
+    /// Takes in how this member of a fleet stands.
+    pub fn fleet(&self, census: &linenproxy_fleet::core::Census) {
+        let Some(seen) = &self.0 else { return };
+        let f = &seen.figures;
+        f.gauge("tinflow_fleet_members", "Other members that run.", &[]).set(census.members.len() as f64);
+        f.gauge("tinflow_fleet_resting", "Endpoints that rest by others' word.", &[])
+            .set(census.rests.len() as f64);
+        let counts = &census.counts;
+        for (name, what, value) in [
+            ("tinflow_fleet_datagrams_sent_total", "Datagrams sent.", counts.sent),
+            ("tinflow_fleet_sent_bytes_total", "Bytes of datagrams sent.", counts.sent_bytes),
+            ("tinflow_fleet_datagrams_received_total", "Datagrams that came.", counts.received),
+            ("tinflow_fleet_evidence_said_total", "Evidence given by this member.", counts.said),
+            ("tinflow_fleet_evidence_heard_total", "Evidence of others that was new.", counts.heard),
+            ("tinflow_fleet_trials_total", "Trials that fell to this member.", counts.trials),
+            ("tinflow_fleet_rests_total", "Endpoints sent to rest.", counts.rests),
+        ] {
+            f.counter(name, what, &[]).absolute(value);
+        }
+        for (why, count) in &census.dropped {
+            f.counter(
+                "tinflow_fleet_dropped_total",
+                "What was dropped, by reason.",
+                &[("reason", why.word())],
+            )
+            .absolute(*count);
+        }
+    }
+
     /// Takes in what the engine found when it was asked, and writes all figures.
     pub fn page(&self, survey: &Survey, lines_dropped: u64) -> Option<String> {
         let seen = self.0.as_deref()?;
--- a/src/bin/tinflow/plain.rs
+++ b/src/bin/tinflow/plain.rs
@@ -1,8 +1,10 @@
 //! What stands in the place of `product.rs` and `observer.rs` where the product parts are not built in: nothing is
 //! configured, hosted or counted. Changes with the face of those two.
 
+use crate::clock::Clock;
+use crate::config::Config;
 use crate::messages::{Answer, Inputs, Outgoing};
-use linenproxy::{AttemptNo, Micros, Outcome};
+use linenproxy::{AttemptNo, EndpointId, Listing, Micros, Outcome, Sharing};
 use std::process::ExitCode;
 
 /// No product parts.
@@ -26,8 +28,13 @@
         Observer
     }
 
+    /// Joins nothing.
+    pub fn join(&self, _: &Config, _: &Inputs, _: Clock) -> Result<Option<Fleet>, (String, ExitCode)> {
+        Ok(None)
+    }
+
     /// Hosts nothing.
-    pub fn host(&self, _: &Observer, _: &Inputs) -> Result<(), (String, ExitCode)> {
+    pub fn host(&self, _: &Observer, _: &Inputs, _: Option<&Fleet>) -> Result<(), (String, ExitCode)> {
         Ok(())
     }
 
@@ -38,6 +45,33 @@
     pub fn end(&self) {}
 }
 
+/// There is none.
+#[derive(Clone)]
+pub enum Fleet {}
+
+impl Fleet {
+    /// See `fleet.rs`.
+    pub fn sharing(&self) -> Sharing {
+        match *self {}
+    }
+    /// See `fleet.rs`.
+    pub fn alias(&self, _: &str) -> u64 {
+        match *self {}
+    }
+    /// See `fleet.rs`.
+    pub fn listed<'a>(&self, _: bool, _: &[Listing], _: impl Fn(EndpointId) -> &'a str) {
+        match *self {}
+    }
+    /// See `fleet.rs`.
+    pub fn witness(&self, _: EndpointId, _: bool) {
+        match *self {}
+    }
+    /// See `fleet.rs`.
+    pub fn leave(&self) {
+        match *self {}
+    }
+}
+
 /// Sees nothing.
 #[derive(Clone)]
 pub struct Observer;
--- a/src/bin/tinflow/product.rs
+++ b/src/bin/tinflow/product.rs
@@ -1,7 +1,9 @@
 //! The product parts of the sidecar: its command line, its product configuration, and what they switch on. Changes
 //! with what can be configured. Without a product configuration nothing is hosted and nothing is counted.
 
+use crate::clock::Clock;
 use crate::config::Config;
+pub use crate::fleet::Fleet;
 use crate::messages::Inputs;
 pub use crate::observer::Observer;
 use crate::report::say;
@@ -10,6 +12,7 @@
 use linenproxy_common::config::{self, Configuration, Contradiction};
 use linenproxy_common::logging::{self, Log, LogSection};
 use linenproxy_common::metering::{self, Bounds, Figures, MetricsSection, Page};
+use linenproxy_fleet::section::FleetSection;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
 use std::path::PathBuf;
@@ -39,12 +42,14 @@
 struct Sections {
     log: LogSection,
     metrics: MetricsSection,
+    fleet: FleetSection,
 }
 
 impl Configuration for Sections {
     fn check(&self) -> Result<(), Contradiction> {
         self.log.check()?;
-        self.metrics.check()
+        self.metrics.check()?;
+        self.fleet.check()
     }
 }
 
@@ -56,6 +61,9 @@
     }
 }
 
+/// Longest name of a member and of a zone on the wire, in bytes.
+const LONGEST_NAME: usize = 32;
+
 /// The product parts of this process.
 pub struct Product {
     file: Option<PathBuf>,
@@ -97,8 +105,39 @@
         }
     }
 
+    /// Joins the fleet, where one is configured.
+    pub fn join(
+        &self,
+        config: &Config,
+        inputs: &Inputs,
+        clock: Clock,
+    ) -> Result<Option<Fleet>, (String, ExitCode)> {
+        let section = &self.holds.fleet;
+        if !section.enabled {
+            return Ok(None);
+        }
+        if config.name.is_empty() || config.name.len() > LONGEST_NAME {
+            let what = "fleet.enabled needs a name of 1 to 32 bytes: LB_NAME, or name in the platform's file";
+            return Err((what.to_owned(), Exit::Config.into()));
+        }
+        let zone = config.decoded.settings.zone.map_or("", |zone| config.decoded.zones.name(zone));
+        let zone = zone.get(..LONGEST_NAME).unwrap_or(zone);
+        match Fleet::join(section, &config.name, zone, inputs, clock) {
+            Ok(fleet) => Ok(Some(fleet)),
+            Err(e) => {
+                let what = format!("cannot listen on fleet.listen {}: {e}", section.listen);
+                Err((what, Exit::Unavailable.into()))
+            }
+        }
+    }
+
     /// Starts what is configured.
-    pub fn host(&self, observer: &Observer, inputs: &Inputs) -> Result<(), (String, ExitCode)> {
+    pub fn host(
+        &self,
+        observer: &Observer,
+        inputs: &Inputs,
+        fleet: Option<&Fleet>,
+    ) -> Result<(), (String, ExitCode)> {
         let Some(figures) = observer.figures() else { return Ok(()) };
         let at = self.holds.metrics.address;
         let listener = std::net::TcpListener::bind(at)
@@ -111,12 +150,21 @@
         }
         spawn_local(Rc::clone(&figures).upkeep());
         let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&self.log));
+        let fleet = fleet.cloned();
         let pages = move |path: String| {
             let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&log));
+            let fleet = fleet.clone();
             async move {
+                if path == "/fleet" {
+                    let text = serde_json::to_string_pretty(&fleet?.census()).ok()?;
+                    return Some(Page { media: "application/json", text: text + "\n" });
+                }
                 if path != "/metrics" {
                     return None;
                 }
+                if let Some(fleet) = &fleet {
+                    observer.fleet(&fleet.census());
+                }
                 let survey = inputs.survey().await?;
                 observer.page(&survey, log.dropped()).map(Page::metrics)
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,6 +8,7 @@
 mod breaker;
 mod bulwark;
 mod cold;
+mod hearsay;
 mod list;
 mod outcomes;
 mod pace;
@@ -38,9 +39,9 @@
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
         set.check()?;
         let (fleet, rng) = (Fleet::new(&set, FIRST_WORK, RETRIES.1), fastrand::Rng::with_seed(seed));
-        let (endpoints, requests, queue, timers, log) = Default::default();
+        let (endpoints, requests, queue, timers, log, sharing) = Default::default();
         let memory = MEMORY * set.longest_aim().min(HOUR);
-        Ok(Self { set, memory, rng, endpoints, requests, queue, timers, fleet, log })
+        Ok(Self { set, memory, rng, endpoints, requests, queue, timers, fleet, log, sharing })
     }
 
     /// Takes one event that happens at `now` and appends what is to be done.
@@ -50,8 +51,10 @@
             self.fleet.subscribed = true;
             out.push(Action::Subscribe(true));
         }
+        self.forget_words(now);
         self.pace_groups(now);
         match event {
+            Event::Words(words) => self.heed(now, words, out),
             Event::Endpoints(update) => self.listed(now, update),
             Event::Request(new) => self.admit(now, new, out),
             Event::StreamStarted { request, attempt } => self.streaming(request, attempt, out),
@@ -86,6 +89,7 @@
             class: new.class,
             aim,
             arrived: now,
+            key: new.key,
             expires: now,
             due: new.due.clamp(now, now + HOUR) - 2 * self.set.tick,
             work,
@@ -129,7 +133,7 @@
         e.flights.push(Flight { request: id, attempt, class, work, sent: now, streaming: false });
         (e.last_sent, e.cold_at, e.cold_credit) = (now, now, credit - work);
         self.fleet.retries -= f64::from(u8::from(attempt > 0));
-        self.fleet.trials -= f64::from(u8::from(e.circuit != Circuit::Closed));
+        self.fleet.trials -= f64::from(u8::from(e.gate() != Circuit::Closed));
         request.attempts.push(Attempt { endpoint, sent: now, live: true, may_have_run: true });
         request.state = State::Sent;
         out.push(Action::Send { request: id, endpoint, timeout });
--- /dev/null
+++ b/src/choice/hearsay.rs
@@ -0,0 +1,47 @@
+//! What other instances say of endpoints, and what is told to them. Changes with what their word does here.
+//!
+//! Their word stands above the own circuit and leaves it as it is: once it is taken back or past its bound,
+//! the instance decides as one that has never heard it.
+
+use crate::api::*;
+use crate::state::*;
+
+impl Balancer {
+    /// Shares with other instances from now on what is said here.
+    pub fn share(&mut self, sharing: Sharing) {
+        self.sharing = sharing;
+    }
+
+    /// Follows others' words. Where they were served again its circuit need not be tried by this one too.
+    pub(crate) fn heed(&mut self, now: Micros, words: Vec<Word>, out: &mut Vec<Action>) {
+        for word in words {
+            let Some(e) = self.endpoints.get_mut(word.endpoint).filter(|e| e.held) else { continue };
+            e.word = Some(word).filter(|w| matches!(w.rest, Rest::Yes | Rest::Trial) && now < w.until);
+            if word.rest == Rest::Over && e.circuit != Circuit::Closed {
+                self.close(now, word.endpoint, out);
+            }
+        }
+    }
+
+    /// Past its bound a word counts as never said.
+    pub(crate) fn forget_words(&mut self, now: Micros) {
+        if self.sharing.words {
+            self.endpoints.iter_mut().for_each(|e| e.word = e.word.filter(|w| now < w.until));
+        }
+    }
+
+    /// How far down its list of endpoints a key has this one, the least first: the same at every instance, in
+    /// proportion to weights (highest random weight: Thaler and Ravishankar, IEEE/ACM Transactions on
+    /// Networking 6, 1998, p. 1). One that is to be tried, or is owed turns, comes before all; without a key
+    /// all are alike.
+    pub(crate) fn liking(&self, now: Micros, key: Option<u64>, e: &Endpoint) -> f64 {
+        if e.called() {
+            return -1.0;
+        }
+        let Some(key) = key.filter(|_| self.sharing.ahead > 0.0) else { return 0.0 };
+        if e.left <= -self.sharing.ahead {
+            return -1.0;
+        }
+        -(1.0 - fastrand::Rng::with_seed(key ^ e.alias.rotate_left(32)).f64()).ln() / self.weight(now, e)
+    }
+}
--- a/src/choice/list.rs
+++ b/src/choice/list.rs
@@ -42,13 +42,13 @@
             }
             let e = &mut self.endpoints[l.endpoint];
             (e.listed, e.ready) = (l.status != Status::Gone, l.status == Status::Ready);
-            (e.zone, e.cell, e.kind) = (l.zone, l.cell, l.kind);
+            (e.zone, e.cell, e.kind, e.alias) = (l.zone, l.cell, l.kind, l.alias);
             e.size = if l.size > 0.0 { l.size.clamp(1e-3, 1e6) } else { 1.0 };
             if l.started > e.started {
                 // A new process: what was known of the old one is void, its circuit too. What it gets while
                 // cold is bounded, and by rationed trials a whole site would take half a minute to come back.
                 (e.errors, e.slow, e.unreached) = (0.0, self.fleet.slow, 0);
-                (e.circuit, e.openings) = (Circuit::Closed, 0);
+                (e.circuit, e.openings, e.word) = (Circuit::Closed, 0, None);
                 self.chill(now, l.endpoint, l.started.unwrap_or(now));
             }
         }
@@ -63,6 +63,7 @@
             listed: count(|_| true),
             ready: count(|e| e.ready),
             circuits_open: count(|e| e.circuit != Circuit::Closed),
+            resting: count(|e| e.word.is_some()),
             queued: self.queue.len(),
             given_up: self.log.given_up_in_all,
         }
--- a/src/choice/outcomes.rs
+++ b/src/choice/outcomes.rs
@@ -62,6 +62,10 @@
             Outcome::Cancelled | Outcome::NotSent => return,
             _ => {}
         }
+        // Who turns away what it has no room for is not sick.
+        if self.sharing.words && how != Outcome::Rejected {
+            out.push(Action::Witness { endpoint: i, served: !bad });
+        }
         e.heard = now;
         e.errors += ERROR_WEIGHT.max(fresh) * (f64::from(u8::from(bad)) - e.errors);
         let trial = e.circuit != Circuit::Closed;
--- a/src/choice/turns.rs
+++ b/src/choice/turns.rs
@@ -23,14 +23,19 @@
         let reach = self.reach(now);
         let part = (reach / self.endpoints.iter().filter(|e| e.closed()).count() as f64).min(1.0);
         let (mut best, mut capped, mut near) = (None, false, 0.0);
+        // Whom this instance is to try for all others it tries wherever it stands in its own ring.
+        let any_called = self.sharing.words && self.endpoints.iter().any(Endpoint::called);
         for i in self.fleet.ring.iter().copied().filter(|i| self.may_send(now, request, *i)) {
             let e = &self.endpoints[i];
-            if near >= reach && best.is_some() {
+            if near >= reach && best.is_some() && !e.called() {
+                if any_called {
+                    continue;
+                }
                 break;
             }
             // Half a place each: who left every sick one for the next would try the whole fleet.
             near += if e.closed() { 1.0 } else { 0.5 };
-            let full = match e.circuit {
+            let full = match e.gate() {
                 Circuit::Closed => {
                     // The fair part does not hold up retries, which may be bound to few endpoints.
                     let slack = if request.attempts.is_empty() { SHARE_SLACK } else { f64::INFINITY };
@@ -47,7 +52,8 @@
                 continue;
             }
             let tried = request.attempts.iter().any(|a| a.endpoint == i);
-            let turn = (tried, e.left / self.weight(now, e), e.last_sent, i);
+            let liking = self.liking(now, request.key, e);
+            let turn = (tried, liking, e.left / self.weight(now, e), e.last_sent, i);
             if best.is_none_or(|b| turn < b) {
                 best = Some(turn);
             }
@@ -82,11 +88,13 @@
     /// fixed at the last send would come by what was known a round ago, which may be seconds.
     pub(crate) fn turn_to(&mut self, now: Micros, to: EndpointId) {
         let weights: Vec<f64> = self.endpoints.iter().map(|e| self.weight(now, e)).collect();
-        let passed = self.endpoints[to].left / weights[to];
+        let (left, owed) = (self.endpoints[to].left, 0.0 - self.sharing.ahead);
+        let passed = left.max(0.0) / weights[to];
         for (e, weight) in self.endpoints.iter_mut().zip(weights) {
-            e.left = (e.left - passed * weight).max(0.0);
+            e.left = (e.left - passed * weight).max(owed);
         }
-        self.endpoints[to].left = 1.0;
+        // A turn that it was owed does not count against its next.
+        self.endpoints[to].left = 1.0 + left.min(0.0);
     }
 
     /// An endpoint's part of the turns: its size, less while it is cold or slower than the fleet.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,3 +12,4 @@
 
 pub use api::*;
 pub use choice::Balancer;
+pub use state::Sharing;
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,6 +24,17 @@
     pub(crate) timers: Timers,
     pub(crate) fleet: Fleet,
     pub(crate) log: Log,
+    /// What is shared with other instances; nothing unless it was said.
+    pub(crate) sharing: Sharing,
+}
+
+/// What is shared with other instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sharing {
+    /// How attempts end is told, and others' words are followed.
+    pub words: bool,
+    /// Turns by which an endpoint may be ahead of or behind its weight for keys' sake; 0 is no affinity.
+    pub ahead: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -104,6 +115,9 @@
     pub cap: f64,
     pub cold_credit: f64,
     pub cold_at: Micros,
+    pub alias: u64,
+    /// Others' word, while it holds: it rests, or may be tried.
+    pub word: Option<Word>,
 }
 
 pub struct Attempt {
@@ -125,6 +139,7 @@
     pub class: ClassId,
     pub aim: f64,
     pub arrived: Micros,
+    pub key: Option<u64>,
     /// When it stops waiting for a bulwark, and when it must have its final answer.
     pub expires: Micros,
     pub due: Micros,
@@ -222,9 +237,23 @@
 }
 
 impl Endpoint {
-    /// Listed ready, and its circuit closed.
+    /// Its circuit, with others' word above it.
+    pub fn gate(&self) -> Circuit {
+        match self.word {
+            Some(Word { rest: Rest::Trial, .. }) => Circuit::Open(-FAR),
+            Some(Word { until, .. }) => Circuit::Open(until),
+            None => self.circuit,
+        }
+    }
+
+    /// Others' word has it tried by this instance.
+    pub fn called(&self) -> bool {
+        matches!(self.word, Some(Word { rest: Rest::Trial, .. }))
+    }
+
+    /// Listed ready, and nothing says that it should rest.
     pub fn closed(&self) -> bool {
-        self.ready && self.circuit == Circuit::Closed
+        self.ready && self.gate() == Circuit::Closed
     }
 
     /// Whether both drop repeats of the same keys.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -234,6 +234,7 @@
             status: entry.status,
             size: entry.size,
             started: entry.started,
+            alias: 0,
         }
     }
 
@@ -262,6 +263,8 @@
                 let bytes = if bytes.is_empty() { "-".to_owned() } else { STANDARD.encode(bytes) };
                 writeln!(out, "post I={i} Dst={to} Bytes={bytes}")
             }
+            // Nothing is shared here.
+            Action::Witness { .. } => Ok(()),
             Action::Log(text) => writeln!(out, "say_log I={i} Text={}", text.replace(['\n', '\r'], " ")),
         };
         written.expect("writing to a string cannot fail");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -60,7 +60,16 @@
 /// Two endpoints to a cell and to a zone.
 pub fn listing(endpoint: EndpointId) -> Listing {
     let (zone, cell) = (Some(endpoint / 2), endpoint as u64 / 2);
-    Listing { endpoint, zone, cell, kind: None, status: Status::Ready, size: 1.0, started: None }
+    Listing {
+        endpoint,
+        zone,
+        cell,
+        kind: None,
+        status: Status::Ready,
+        size: 1.0,
+        started: None,
+        alias: endpoint as u64,
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
