Share trials out one at a time, call back what waits in vain, and let keys find their servers

Need: verdicts needed three witnesses of each zone, trials were drawn by each member for itself, members that came back knew nothing, and requests already at a silent server waited for their time-outs.

Change: a verdict needs three witnesses over all zones that find an endpoint sick, one of the own zone; it goes on while trials fail. One member makes the trial of a slot, the second one where nothing is heard of it (highest random weight); slots are 3 and 6 times the rest, short once somebody was served. A member that has come asks three others for their evidence. The module calls back attempts that are late at a resting endpoint, where they may run again and the retry budget lets them.

A mass start costs each member news of all others once.

--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -6,16 +6,17 @@
 //! no more in a large fleet than in a small one.
 
 use crate::evidence::{Datum, Merged, Process, Sign, Table};
-use crate::frame::{self, Content, Dropped, EVIDENCE, Head, LONGEST, Piece, REASONS};
+use crate::frame::{self, ASK, Content, Dropped, EVIDENCE, Head, LONGEST, Piece, REASONS};
 use crate::member::Member;
 use crate::section::{FleetSection, micros};
-use crate::verdict::{Rest, Weighed, Weights, turn, weigh};
+use crate::verdict::{Rest, Slot, Weighed, Weights, chosen, slot, weigh};
 use crate::{Micros, SECOND, hash};
 use foca::{AccumulatingRuntime, Foca, Header, NoCustomBroadcast, OwnedNotification, PostcardCodec, Timer};
 use ipnet::IpNet;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroU32, NonZeroUsize};
@@ -36,10 +37,16 @@
 const ENOUGH: usize = 4;
 /// How long news may be under way; the skew of clocks comes on top.
 const UNDER_WAY: Micros = SECOND;
+/// How often a member that has just come asks some others for what they know, and its pause between.
+const ASKS: u8 = 3;
+const ASK_PAUSE: Micros = SECOND / 2;
+/// Datagrams of one answer to that, and answers a second and at once.
+const ANSWER: usize = 2;
+const ANSWER_RATE: f64 = 20.0;
 /// How often the seeds are asked while nobody is known.
-const ASK: Micros = SECOND;
+const SEEDS: Micros = SECOND;
 /// How often they are asked all the same, so that two parts of a fleet that lost each other for long find together.
-const ASK_AGAIN: Micros = 20 * SECOND;
+const SEEDS_AGAIN: Micros = 20 * SECOND;
 /// A member that wakes up this much later than it wanted has not seen others' silence but its own.
 const OVERSLEPT: Micros = SECOND;
 /// Part of the endpoints that one member has seen of late, and their least number, beyond which those it finds sick say
@@ -121,6 +128,10 @@
     since: Micros,
     rest: Rest,
     until: Micros,
+    /// Who makes the trial of that slot.
+    chosen: (Slot, [Option<u64>; 2]),
+    /// Zones that have found it sick.
+    zones: Vec<u64>,
 }
 
 struct News {
@@ -128,6 +139,22 @@
     left: u8,
 }
 
+/// So many a second, and so many at once.
+struct Tokens {
+    left: f64,
+    at: Micros,
+}
+
+impl Tokens {
+    fn take(&mut self, now: Micros, rate: f64, most: f64) -> bool {
+        let gained = (now - self.at).max(0) as f64 / SECOND as f64 * rate;
+        (self.left, self.at) = ((self.left + gained).min(most), now);
+        let has = self.left >= 1.0;
+        self.left -= f64::from(u8::from(has));
+        has
+    }
+}
+
 /// A member.
 pub struct Core {
     cluster: String,
@@ -159,7 +186,9 @@
     table: Table,
     sick_by: HashMap<u64, usize>,
     own: HashMap<Process, Own>,
-    tokens: (f64, Micros),
+    tokens: Tokens,
+    answers: Tokens,
+    asks: (u8, Micros),
     overslept_until: Micros,
     resting: BTreeMap<usize, Resting>,
     news: VecDeque<News>,
@@ -171,7 +200,8 @@
     let mut config = foca::Config::new_lan(NonZeroU32::new(section.members).unwrap_or(NonZeroU32::MIN));
     let usize_of = |n| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
     config.max_packet_size = usize_of(LONGEST - MOST_HEAD);
-    config.suspect_to_down_after = Duration::from_secs(3);
+    // Four probes: with three datagrams in ten lost, hardly anybody is taken for dead who is not.
+    config.suspect_to_down_after = Duration::from_secs(4);
     config.probe_rtt = Duration::from_millis(400);
     // A cut that heals is found out within some seconds, at the cost of two datagrams in that time.
     config.periodic_announce_to_down_members =
@@ -230,7 +260,9 @@
             table: Table::default(),
             sick_by: HashMap::new(),
             own: HashMap::new(),
-            tokens: (OWN_BURST, now),
+            tokens: Tokens { left: OWN_BURST, at: now },
+            answers: Tokens { left: ANSWER_RATE, at: now },
+            asks: (ASKS, now),
             overslept_until: Micros::MIN,
             resting: BTreeMap::new(),
             news: VecDeque::new(),
@@ -291,6 +323,7 @@
                             Ok(datum) => self.heard(now, datum),
                             Err(_) => self.drop_one(Dropped::Malformed),
                         },
+                        Ok(Piece { kind: ASK, .. }) => self.answer(now, from),
                         Ok(_) => self.drop_one(Dropped::Kind),
                         Err(why) => self.drop_one(why),
                     }
@@ -363,7 +396,7 @@
     }
 
     fn ask_seeds(&mut self, now: Micros) {
-        self.next_ask = now + if self.members.is_empty() { ASK } else { ASK_AGAIN };
+        self.next_ask = now + if self.members.is_empty() { SEEDS } else { SEEDS_AGAIN };
         // A start asks a few at once; later on one is enough.
         let count = if self.members.is_empty() { FANOUT } else { 1 };
         for _ in 0..count.min(self.seeds.len()) {
@@ -374,6 +407,14 @@
         self.follow(now);
     }
 
+    /// Takes members as known to run, without telling others of them: what was known before, or is known from elsewhere.
+    pub fn recall(&mut self, now: Micros, members: impl Iterator<Item = Member>) {
+        let alive = members.map(foca::Member::alive);
+        // Who does not run is found out as anyone is.
+        let _ = self.foca.apply_many(alive, false, &mut self.runtime);
+        self.follow(now);
+    }
+
     /// Tells others that this member leaves.
     pub fn leave(&mut self, now: Micros) {
         let _ = self.foca.leave_cluster(&mut self.runtime);
@@ -431,7 +472,11 @@
                 self.table.of(process).flat_map(|(_, data)| data).any(|d| fresh(&d) && d.sign == Sign::Sick)
             }
         };
-        if said || !worth_saying || (sign == Sign::Sick && self.doubts_itself(now)) || !self.token(now) {
+        if said
+            || !worth_saying
+            || (sign == Sign::Sick && self.doubts_itself(now))
+            || !self.tokens.take(now, OWN_RATE, OWN_BURST)
+        {
             return self.look(now, endpoint);
         }
         if let Some(own) = self.own.get_mut(&process) {
@@ -453,14 +498,6 @@
         self.look(now, endpoint);
     }
 
-    fn token(&mut self, now: Micros) -> bool {
-        let (tokens, at) = self.tokens;
-        let tokens = (tokens + (now - at).max(0) as f64 / SECOND as f64 * OWN_RATE).min(OWN_BURST);
-        let has = tokens >= 1.0;
-        self.tokens = (tokens - f64::from(u8::from(has)), now);
-        has
-    }
-
     /// It finds most of what it has tried of late sick: likely the fault lies with itself.
     fn doubts_itself(&self, now: Micros) -> bool {
         let fresh = || self.own.values().filter(|own| now - own.at < self.weights.bound);
@@ -522,7 +559,7 @@
         }
         for _ in 0..FANOUT.min(self.drawn.len()) {
             let to = self.drawn[self.rng.random_range(0..self.drawn.len())];
-            self.news.make_contiguous().sort_by_key(|n| std::cmp::Reverse(n.left));
+            self.news.make_contiguous().sort_by_key(|n| Reverse(n.left));
             let head = Head { cluster: &self.cluster, sent: now, content: Content::News };
             let mut bytes = frame::begin(&head);
             let mut any = false;
@@ -540,9 +577,56 @@
         }
     }
 
+    /// Asks a few members for what they know, as one that has just come knows nothing.
+    fn ask(&mut self, now: Micros) {
+        let (left, next) = self.asks;
+        if left == 0 || now < next || self.drawn.is_empty() {
+            return;
+        }
+        self.asks = (left - 1, now + ASK_PAUSE);
+        for _ in 0..FANOUT {
+            let to = self.drawn[self.rng.random_range(0..self.drawn.len())];
+            let mut bytes = frame::begin(&Head { cluster: &self.cluster, sent: now, content: Content::News });
+            if frame::add(&mut bytes, &Piece { kind: ASK, bytes: &[] }) {
+                self.send(to, bytes);
+            }
+        }
+    }
+
+    /// Tells one that has just come of the endpoints that members have found sick, the newest first.
+    fn answer(&mut self, now: Micros, to: SocketAddr) {
+        if !self.answers.take(now, ANSWER_RATE, ANSWER_RATE) {
+            return self.drop_one(Dropped::Full);
+        }
+        let mut data: Vec<Datum> = Vec::new();
+        for process in self.table.processes() {
+            let of: Vec<Datum> = self.table.of(process).flat_map(|(_, data)| data).copied().collect();
+            if of.iter().any(|d| d.sign == Sign::Sick) {
+                data.extend(of);
+            }
+        }
+        data.sort_by_key(|d| Reverse(d.seen));
+        let mut data = data.into_iter().peekable();
+        for _ in 0..ANSWER {
+            let mut bytes = frame::begin(&Head { cluster: &self.cluster, sent: now, content: Content::News });
+            let mut any = false;
+            while let Some(datum) = data.peek() {
+                let Ok(piece) = postcard::to_stdvec(datum) else { break };
+                if !frame::add(&mut bytes, &Piece { kind: EVIDENCE, bytes: &piece }) {
+                    break;
+                }
+                data.next();
+                any = true;
+            }
+            if any {
+                self.send(to, bytes);
+            }
+        }
+    }
+
     // ---- Verdicts ----
 
-    fn weighed(&self, now: Micros, process: Process) -> Weighed {
+    fn weighed(&self, now: Micros, process: Process, rests: Option<&[u64]>) -> Weighed {
         let doubted = |origin: u64| {
             let sick = self.sick_by.get(&origin).copied().unwrap_or(0);
             sick >= DOUBTED_LEAST && sick as f64 > DOUBTED * self.ready as f64
@@ -556,14 +640,14 @@
             known.is_some_and(|k| k.zone == d.zone) && !doubted(d.origin)
         };
         let members = |zone: u64| self.in_zone.get(&zone).copied().unwrap_or(0);
-        weigh(self.table.of(process), now, self.zone, &self.weights, counts, members)
+        weigh(self.table.of(process), now, self.zone, rests, &self.weights, counts, members)
     }
 
     /// Looks at an endpoint anew, and tells the module where that changes something.
     fn look(&mut self, now: Micros, endpoint: usize) {
         let Some(process) = self.processes.get(&endpoint).copied() else { return };
-        let weighed = self.weighed(now, process);
         let was = self.resting.get(&endpoint).filter(|r| r.process == process);
+        let weighed = self.weighed(now, process, was.map(|r| r.zones.as_slice()));
         let most = (self.most_out * self.ready as f64) as usize;
         if !weighed.sick || weighed.until <= now || (was.is_none() && self.resting.len() >= most) {
             if was.is_some() {
@@ -574,10 +658,25 @@
             return;
         }
         let since = was.map_or(now, |r| r.since);
-        let members = weighed.zones.iter().map(|z| self.in_zone.get(z).copied().unwrap_or(0)).sum();
-        let tried = self.own.get(&process).map_or(Micros::MIN, |own| own.at);
-        let trial = turn(process, self.origin, now, since, &weighed, members, &self.weights)
-            .is_some_and(|(from, _)| tried < from);
+        let slot = slot(now, since, &weighed, &self.weights);
+        let none = (Slot { from: 0, length: 0 }, [None; 2]);
+        let chosen = match (slot, was) {
+            (None, was) => was.map_or(none, |r| r.chosen),
+            (Some(slot), Some(r)) if r.chosen.0 == slot => r.chosen,
+            (Some(slot), _) => {
+                let others =
+                    self.members.values().filter(|k| weighed.zones.contains(&k.zone)).map(|k| k.origin);
+                (slot, chosen(process, slot, others.chain(std::iter::once(self.origin))))
+            }
+        };
+        let trial = slot.is_some_and(|slot| {
+            // The second one comes in where nothing was heard of the first.
+            let late = now >= slot.from + slot.length / 2;
+            let untried = weighed.newest.is_none_or(|(_, seen)| seen < slot.from);
+            let mine = |n: usize| chosen.1[n] == Some(self.origin);
+            let own = self.own.get(&process).map_or(Micros::MIN, |own| own.at);
+            own < slot.from && untried && (mine(0) || (late && mine(1)))
+        });
         let rest = if trial { Rest::Trial } else { Rest::Yes };
         let until = weighed.until;
         let changed = was.is_none_or(|r| r.rest != rest || until - r.until >= self.weights.rest);
@@ -585,7 +684,10 @@
             self.counts.rests += u64::from(was.is_none());
             self.counts.trials += u64::from(trial);
             self.effects.words.push(Word { endpoint, rest, until });
-            self.resting.insert(endpoint, Resting { process, since, rest, until });
+            let zones = weighed.zones;
+            self.resting.insert(endpoint, Resting { process, since, rest, until, chosen, zones });
+        } else if let Some(r) = self.resting.get_mut(&endpoint) {
+            r.chosen = chosen;
         }
     }
 
@@ -627,6 +729,7 @@
         for endpoint in looked {
             self.look(now, endpoint);
         }
+        self.ask(now);
         self.gossip(now);
     }
 
--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -45,6 +45,8 @@
 
 /// A piece that is [`crate::evidence::Datum`].
 pub const EVIDENCE: u8 = 1;
+/// A piece, without content, by which a member that has just come asks for all evidence of sick endpoints.
+pub const ASK: u8 = 2;
 
 /// Why a datagram, or something in it, was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
--- a/crates/fleet/src/section.rs
+++ b/crates/fleet/src/section.rs
@@ -105,7 +105,7 @@
 
 impl Default for Affinity {
     fn default() -> Self {
-        Self { enabled: false, ahead: 2.0 }
+        Self { enabled: false, ahead: 4.0 }
     }
 }
 
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -153,10 +153,11 @@
     drop(tasks);
     stage.end().await;
     let record = stage.record.take();
-    let (work, fallen) = stage.servers.with(|world, _, _| (world.work(), world.fallen().len()));
+    let (work, savable, fallen) =
+        stage.servers.with(|world, _, _| (world.work(), world.savable(), world.fallen().len()));
     let findings = audit(plan, &record);
     let fleet_bytes = stage.fronts.as_ref().map_or(0, Fronts::bytes);
-    Ok(tally(plan, &record, Beside { work, fallen, lateness, fleet_bytes }, findings))
+    Ok(tally(plan, &record, Beside { work, savable, fallen, lateness, fleet_bytes }, findings))
 }
 
 /// What stands in a variant's configuration for the addresses of a sidecar in its fleet.
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -207,12 +207,12 @@
         let until = plan.arrivals.get(next).map_or(plan.lasts + TAIL, |a| a.at);
         sim.run(until);
     }
-    let (work, fallen) = (sim.world.work(), sim.world.fallen().len());
+    let (work, savable, fallen) = (sim.world.work(), sim.world.savable(), sim.world.fallen().len());
     let mut record = sim.record;
     record.sort_by_key(|(at, _)| *at);
     let findings = audit(plan, &record);
     let fleet_bytes = sim.mailed_bytes;
-    Ok(tally(plan, &record, Beside { work, fallen, lateness: 0, fleet_bytes }, findings))
+    Ok(tally(plan, &record, Beside { work, savable, fallen, lateness: 0, fleet_bytes }, findings))
 }
 
 impl Sim<'_> {
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -15,6 +15,8 @@
 pub struct Beside {
     /// Work done and work saved by warm keys, in microseconds on a core of speed 1.
     pub work: (f64, f64),
+    /// Work that would have been saved had each request gone where its key was known best.
+    pub savable: f64,
     /// Servers pushed over while cold.
     pub fallen: usize,
     /// Bytes of datagrams that sidecars sent each other.
@@ -179,6 +181,7 @@
         (Measure::Handshakes, share(handshakes, requests)),
         (Measure::Probes, share(probes, requests)),
         (Measure::Crossing, share(crossing, attempts)),
+        (Measure::WorkSavable, share(beside.savable, beside.work.0 + beside.work.1)),
         (Measure::WorkSaved, share(beside.work.1, beside.work.0 + beside.work.1)),
         (
             Measure::FleetBytes,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -101,6 +101,8 @@
     /// Work done so far, and work that warm keys saved.
     work_done: f64,
     work_saved: f64,
+    /// What would have been saved had each request gone where its key was known best.
+    work_savable: f64,
     fallen: Vec<(Us, usize)>,
 }
 
@@ -143,6 +145,7 @@
             rng: fastrand::Rng::with_seed(plan.seed),
             work_done: 0.0,
             work_saved: 0.0,
+            work_savable: 0.0,
             fallen: Vec::new(),
         }
     }
@@ -162,6 +165,11 @@
         (self.work_done, self.work_saved)
     }
 
+    /// Work that would have been saved had each request gone where its key was known best.
+    pub fn savable(&self) -> f64 {
+        self.work_savable
+    }
+
     /// Requests that a server holds.
     pub fn held(&self, server: usize) -> usize {
         self.servers[server].running.len() + self.servers[server].waiting.len()
@@ -351,6 +359,14 @@
         s.overdriven &= s.idle_since.is_none_or(|since| now - since < spec.idle_for);
     }
 
+    /// The most that any server in use would save of a request's work by knowing its key.
+    fn best(&self, job: &Job) -> f64 {
+        let knows = |(spec, s): &(&ServerSpec, &Server)| {
+            s.up && !s.silent && s.remembered.get(&job.key).is_some_and(|at| self.now - at <= spec.memory)
+        };
+        self.specs.iter().zip(&self.servers).filter(knows).map(|(spec, _)| spec.saves).fold(0.0, f64::max)
+    }
+
     /// A request has come in whole at `now`; what is done until then is appended.
     pub fn submit(&mut self, now: Us, server: usize, job: Job, done: &mut Vec<Done>) -> Admission {
         self.advance(now, done);
@@ -396,6 +412,7 @@
             return Admission::Refused;
         }
         s.waiting.push_back(job);
+        self.work_savable += job.work * self.best(&job);
         self.settle(server, done);
         self.plan_ahead(group);
         Admission::Taken
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -85,6 +85,7 @@
         // A repeat, which has spent part of its client's aim already, waits behind first tries.
         let over_share = self.over_share(now, new.tenant) || new.repeat;
         let shed = self.sheds(over_share);
+        self.fleet.keyed |= new.key.is_some() && self.sharing.ahead > 0.0;
         let request = Request {
             class: new.class,
             aim,
--- a/src/choice/hearsay.rs
+++ b/src/choice/hearsay.rs
@@ -6,6 +6,11 @@
 use crate::api::*;
 use crate::state::*;
 
+/// Turns that an endpoint may be owed, as a multiple of those by which it may be ahead.
+pub(crate) const MOST_OWED: f64 = 8.0;
+/// Expected times after which an attempt that others' word is against is called back.
+const OVERDUE: f64 = 2.0;
+
 impl Balancer {
     /// Shares with other instances from now on what is said here.
     pub fn share(&mut self, sharing: Sharing) {
@@ -19,6 +24,22 @@
             e.word = Some(word).filter(|w| matches!(w.rest, Rest::Yes | Rest::Trial) && now < w.until);
             if word.rest == Rest::Over && e.circuit != Circuit::Closed {
                 self.close(now, word.endpoint, out);
+            } else if word.rest == Rest::Yes && self.set.limits.may_cancel {
+                self.call_back(now, word.endpoint, out);
+            }
+        }
+    }
+
+    /// Others get no answer there: what has waited for longer than usual, and may run again, waits no more.
+    fn call_back(&self, now: Micros, i: EndpointId, out: &mut Vec<Action>) {
+        let e = &self.endpoints[i];
+        let late = |f: &&Flight| {
+            !f.streaming && (now - f.sent) as f64 > OVERDUE * f.work * self.fleet.slow.max(e.slow)
+        };
+        for f in e.flights.iter().filter(late) {
+            let again = self.set.classes[f.class].effect != Effect::Unsafe;
+            if again && self.fleet.retries >= 1.0 {
+                out.push(Action::Cancel { request: f.request, attempt: f.attempt });
             }
         }
     }
@@ -32,14 +53,18 @@
 
     /// How far down its list of endpoints a key has this one, the least first: the same at every instance, in
     /// proportion to weights (highest random weight: Thaler and Ravishankar, IEEE/ACM Transactions on
-    /// Networking 6, 1998, p. 1). One that is to be tried, or is owed turns, comes before all; without a key
-    /// all are alike.
+    /// Networking 6, 1998, p. 1), past those that are ahead of their turns (consistent hashing with bounded
+    /// loads: Mirrokni, Thorup and Zadimoghaddam, SODA 2018, p. 587). One that is to be tried, or is owed
+    /// turns, comes before all; without a key all are alike.
     pub(crate) fn liking(&self, now: Micros, key: Option<u64>, e: &Endpoint) -> f64 {
         if e.called() {
             return -1.0;
         }
         let Some(key) = key.filter(|_| self.sharing.ahead > 0.0) else { return 0.0 };
-        if e.left <= -self.sharing.ahead {
+        if e.left >= self.sharing.ahead {
+            return f64::MAX;
+        }
+        if e.left <= -MOST_OWED * self.sharing.ahead {
             return -1.0;
         }
         -(1.0 - fastrand::Rng::with_seed(key ^ e.alias.rotate_left(32)).f64()).ln() / self.weight(now, e)
--- a/src/choice/turns.rs
+++ b/src/choice/turns.rs
@@ -1,6 +1,7 @@
 //! Weighted round robin: whose turn it is among endpoints within reach. Changes with how turns are parted.
 
 use super::bulwark::SHARE_SLACK;
+use super::hearsay::MOST_OWED;
 use crate::api::*;
 use crate::state::*;
 
@@ -88,13 +89,24 @@
     /// fixed at the last send would come by what was known a round ago, which may be seconds.
     pub(crate) fn turn_to(&mut self, now: Micros, to: EndpointId) {
         let weights: Vec<f64> = self.endpoints.iter().map(|e| self.weight(now, e)).collect();
-        let (left, owed) = (self.endpoints[to].left, 0.0 - self.sharing.ahead);
-        let passed = left.max(0.0) / weights[to];
+        if self.fleet.keyed {
+            // Turns out of order are accounts: each send costs one, which all within reach are given.
+            let shared = |e: &Endpoint, w: &f64| if e.closed() { *w } else { 0.0 };
+            let all: f64 = self.endpoints.iter().zip(&weights).map(|(e, w)| shared(e, w)).sum();
+            let closed = self.endpoints.iter().filter(|e| e.closed()).count() as f64;
+            let part = (self.reach(now) / closed.max(1.0)).min(1.0);
+            for (e, weight) in self.endpoints.iter_mut().zip(weights) {
+                e.left =
+                    (e.left - weight / (all * part).max(weight)).max(-MOST_OWED * self.sharing.ahead - 1.0);
+            }
+            self.endpoints[to].left += 1.0;
+            return;
+        }
+        let passed = self.endpoints[to].left / weights[to];
         for (e, weight) in self.endpoints.iter_mut().zip(weights) {
-            e.left = (e.left - passed * weight).max(owed);
+            e.left = (e.left - passed * weight).max(0.0);
         }
-        // A turn that it was owed does not count against its next.
-        self.endpoints[to].left = 1.0 + left.min(0.0);
+        self.endpoints[to].left = 1.0;
     }
 
     /// An endpoint's part of the turns: its size, less while it is cold or slower than the fleet.
--- a/src/state.rs
+++ b/src/state.rs
@@ -170,6 +170,8 @@
     /// The endpoints in an order of this sidecar's own.
     pub ring: Vec<EndpointId>,
     pub subscribed: bool,
+    /// Some request with a key came while keys have an affinity.
+    pub keyed: bool,
     /// Further attempts that the budget still allows.
     pub retries: f64,
     pub trials: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -187,6 +187,16 @@
     actions.iter().filter_map(to).collect()
 }
 
+/// Where so many served requests were sent.
+pub fn used(rig: &mut Rig, requests: usize) -> Vec<EndpointId> {
+    let mut all = Vec::new();
+    for _ in 0..requests {
+        all.extend(sent(&rig.request(SAFE).1));
+        rig.serve(20 * MS);
+    }
+    all
+}
+
 pub fn refused(actions: &[Action], id: RequestId) -> bool {
     actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
 }
