Tell of attempts six times later than usual rather than four, and measure what a member costs

Change: six expected times instead of four, which one answer in four hundred takes by its work alone.

--- a/crates/common/src/process.rs
+++ b/crates/common/src/process.rs
@@ -21,13 +21,24 @@
 
 /// Reads them anew.
 pub fn usage() -> Usage {
-    let status = fs::read_to_string("/proc/self/status").ok();
-    let limits = fs::read_to_string("/proc/self/limits").ok();
-    let stat = fs::read_to_string("/proc/self/stat").ok();
+    usage_at("/proc/self")
+}
+
+/// Those of another process.
+pub fn usage_of(process: u32) -> Usage {
+    usage_at(&format!("/proc/{process}"))
+}
+
+fn usage_at(folder: &str) -> Usage {
+    let status = fs::read_to_string(format!("{folder}/status")).ok();
+    let limits = fs::read_to_string(format!("{folder}/limits")).ok();
+    let stat = fs::read_to_string(format!("{folder}/stat")).ok();
     Usage {
         resident: status.as_deref().and_then(resident),
         // One of them is the folder that is being read.
-        descriptors: fs::read_dir("/proc/self/fd").ok().map(|fds| (fds.count() as u64).saturating_sub(1)),
+        descriptors: fs::read_dir(format!("{folder}/fd"))
+            .ok()
+            .map(|fds| (fds.count() as u64).saturating_sub(1)),
         most_descriptors: limits.as_deref().and_then(most_descriptors),
         processor: stat.as_deref().and_then(processor),
     }
@@ -66,5 +77,6 @@
         assert_eq!(processor("nothing"), None);
         let usage = usage();
         assert!(usage.resident.is_some_and(|b| b > 0) && usage.descriptors.is_some_and(|n| n > 0));
+        assert!(usage_of(std::process::id()).resident.is_some() && usage_of(u32::MAX) == Usage::default());
     }
 }
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -38,6 +38,10 @@
     WorkSavable,
     /// Bytes of datagrams that a sidecar sends to others a second.
     FleetBytes,
+    /// Processor time of the sidecars for each request, in milliseconds; 0 in simulated time.
+    ProcessorMs,
+    /// Resident memory of a sidecar at its end, in megabytes; 0 in simulated time.
+    MemoryMb,
     /// Servers pushed over while cold.
     Fallen,
     /// Median time from a request's first try to its answer, in milliseconds.
@@ -52,7 +56,7 @@
 
 impl Measure {
     /// All of them.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::Served,
         Self::ServedWorstClass,
         Self::ServedWorstSecond,
@@ -69,6 +73,8 @@
         Self::WorkSaved,
         Self::WorkSavable,
         Self::FleetBytes,
+        Self::ProcessorMs,
+        Self::MemoryMb,
         Self::Fallen,
         Self::P50Ms,
         Self::P99Ms,
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -156,8 +156,14 @@
     let (work, savable, fallen) =
         stage.servers.with(|world, _, _| (world.work(), world.savable(), world.fallen().len()));
     let findings = audit(plan, &record);
+    let mut spent = Vec::new();
+    for sidecar in 0..stage.sidecars.len() {
+        if let Some(process) = stage.process(sidecar) {
+            spent.push(process.lock().await.spent());
+        }
+    }
     let fleet_bytes = stage.fronts.as_ref().map_or(0, Fronts::bytes);
-    Ok(tally(plan, &record, Beside { work, savable, fallen, lateness, fleet_bytes }, findings))
+    Ok(tally(plan, &record, Beside { work, savable, fallen, lateness, fleet_bytes, spent }, findings))
 }
 
 /// What stands in a variant's configuration for the addresses of a sidecar in its fleet.
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -212,7 +212,7 @@
     record.sort_by_key(|(at, _)| *at);
     let findings = audit(plan, &record);
     let fleet_bytes = sim.mailed_bytes;
-    Ok(tally(plan, &record, Beside { work, savable, fallen, lateness: 0, fleet_bytes }, findings))
+    Ok(tally(plan, &record, Beside { work, savable, fallen, fleet_bytes, ..Beside::default() }, findings))
 }
 
 impl Sim<'_> {
--- a/crates/lab/src/supervisor.rs
+++ b/crates/lab/src/supervisor.rs
@@ -5,6 +5,7 @@
 use crate::net::Clock;
 use crate::record::{Record, Seen};
 use crate::site;
+use linenproxy_common::process::usage_of;
 use rustix::process::{Pid, Signal, getppid, kill_process, set_parent_process_death_signal};
 use serde_json::json;
 use std::fs::{self, File, OpenOptions};
@@ -120,6 +121,16 @@
     child: Option<Child>,
     clock: Clock,
     record: Record,
+    spent: Spent,
+}
+
+/// What a sidecar's processes have used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spent {
+    /// Processor time of all its lives that the lab ended, in seconds.
+    pub processor: f64,
+    /// Resident memory at the end of the last one, in bytes.
+    pub resident: u64,
 }
 
 impl Supervised {
@@ -146,7 +157,18 @@
         };
         let (platform, log) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
         File::create(&log)?;
-        Ok(Self { told, bringing, product, platform, log, seed, child: None, clock, record })
+        Ok(Self {
+            told,
+            bringing,
+            product,
+            platform,
+            log,
+            seed,
+            child: None,
+            clock,
+            record,
+            spent: Spent::default(),
+        })
     }
 
     /// Its process, while one runs.
@@ -221,8 +243,21 @@
         }
     }
 
+    /// What it has used so far, as of its last planned end.
+    pub fn spent(&self) -> Spent {
+        self.spent
+    }
+
+    fn account(&mut self) {
+        let Some(process) = self.id() else { return };
+        let usage = usage_of(process);
+        self.spent.processor += usage.processor.unwrap_or(0.0);
+        self.spent.resident = usage.resident.unwrap_or(0);
+    }
+
     /// Kills it and waits for its end.
     pub async fn kill(&mut self) {
+        self.account();
         let Some(mut child) = self.child.take() else { return };
         let sidecar = self.told.sidecar;
         self.record.note(self.clock.now(), Seen::SidecarDown { sidecar, killed: true });
@@ -231,6 +266,7 @@
 
     /// Stops it by SIGTERM, and kills it where it goes on for too long.
     pub async fn stop(&mut self) {
+        self.account();
         self.signal(Signal::TERM);
         let sidecar = self.told.sidecar;
         self.record.note(self.clock.now(), Seen::SidecarTold { sidecar });
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -5,13 +5,14 @@
 use crate::outcome::Measure;
 use crate::record::{Entry, Seen, Try};
 use crate::site::CLASSES;
+use crate::supervisor::Spent;
 use crate::{SECOND, Us};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 
 /// What the lab knows besides the record.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Beside {
     /// Work done and work saved by warm keys, in microseconds on a core of speed 1.
     pub work: (f64, f64),
@@ -19,6 +20,8 @@
     pub savable: f64,
     /// Servers pushed over while cold.
     pub fallen: usize,
+    /// What each sidecar's processes have used; none in simulated time.
+    pub spent: Vec<Spent>,
     /// Bytes of datagrams that sidecars sent each other.
     pub fleet_bytes: u64,
     /// How late requests left the lab, one in a hundred, in microseconds.
@@ -167,6 +170,8 @@
         .filter(|(a, _)| *a > 0.0)
         .map(|(a, s)| s / a)
         .fold(1.0, f64::min);
+    let processor: f64 = beside.spent.iter().map(|s| s.processor).sum();
+    let resident: f64 = beside.spent.iter().map(|s| s.resident as f64).sum();
     let measures = [
         (Measure::Served, share(in_time, worth)),
         (Measure::ServedWorstClass, worst_class),
@@ -188,6 +193,8 @@
             share(beside.fleet_bytes as f64, plan.sidecars.len() as f64 * plan.lasts as f64 / SECOND as f64),
         ),
         (Measure::Fallen, beside.fallen as f64),
+        (Measure::ProcessorMs, share(processor * 1e3, plan.arrivals.len() as f64)),
+        (Measure::MemoryMb, share(resident / 1e6, beside.spent.len() as f64)),
         (Measure::P50Ms, at(50.0)),
         (Measure::P99Ms, at(99.0)),
         (Measure::LatenessMs, beside.lateness as f64 / 1e3),
--- a/src/choice/hearsay.rs
+++ b/src/choice/hearsay.rs
@@ -10,8 +10,8 @@
 pub(crate) const MOST_OWED: f64 = 8.0;
 /// Expected times after which an attempt that others' word is against is called back.
 const OVERDUE: f64 = 2.0;
-/// Expected times after which it is told of: one in fifty takes four times the mean by its work alone.
-const FAR_LATER: f64 = 4.0;
+/// Expected times after which it is told of: by its work alone one in four hundred takes six times the mean.
+const FAR_LATER: f64 = 6.0;
 
 impl Balancer {
     /// Shares with other instances from now on what is said here.
