--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -103,6 +103,8 @@
     SidecarPause(usize, bool),
     /// What happens to datagrams between sidecars: that kind of fault, and the share that it concerns.
     Datagrams(FaultKind, f64),
+    /// A member that is no sidecar lies, or no longer so.
+    Lies(bool),
     /// What discovery's agents do.
     Agents(Mood),
 }
@@ -365,6 +367,7 @@
             kind @ (FaultKind::DatagramsLost | FaultKind::DatagramsRepeated | FaultKind::DatagramsLate) => {
                 (Step::Datagrams(kind, size), Step::Datagrams(kind, 0.0))
             }
+            FaultKind::MemberLies => (Step::Lies(true), Step::Lies(false)),
             FaultKind::DiscoverySilent => (Step::Agents(Mood::Silent), Step::Agents(Mood::Well)),
             FaultKind::DiscoveryGarbled => (Step::Agents(Mood::Garbled), Step::Agents(Mood::Well)),
             FaultKind::DiscoveryEmpty => (Step::Agents(Mood::Empty), Step::Agents(Mood::Well)),
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -139,6 +139,9 @@
     DatagramsRepeated,
     /// Datagrams between sidecars: a `size` share is held up, so that later ones come before.
     DatagramsLate,
+    /// A member of the fleet in that zone, beside the sidecars, says of all servers that they are dead; with real
+    /// processes only.
+    MemberLies,
     /// Discovery says nothing.
     DiscoverySilent,
     /// Discovery answers nonsense.
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -3,6 +3,7 @@
 
 use crate::net::Net;
 use crate::relay::{Datagrams, Link, datagram};
+use linenproxy_fleet::section::FleetSection;
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -103,6 +104,13 @@
         self.bytes.load(Ordering::Relaxed)
     }
 
+    /// The section of a member that the lab itself runs.
+    pub fn member(&self, member: usize) -> FleetSection {
+        let Address { own, front } = self.addresses[member];
+        let seeds = self.addresses.iter().map(|a| a.front).filter(|a| *a != front).take(SEEDS).collect();
+        FleetSection { enabled: true, listen: own, advertise: Some(front), seeds, ..FleetSection::default() }
+    }
+
     /// What stands for `{fleet}` in the product configuration of a member whose clock is so many milliseconds off.
     pub fn section(&self, member: usize, clock_offset_ms: i64) -> String {
         section(&self.addresses, member, clock_offset_ms)
--- /dev/null
+++ b/crates/lab/src/liar.rs
@@ -0,0 +1,76 @@
+//! A member of a fleet that is no sidecar and says of every server that it is dead. Changes with how it lies.
+
+use linenproxy_fleet::core::Core;
+use linenproxy_fleet::evidence::{Datum, Process, Sign};
+use linenproxy_fleet::frame::{self, Content, EVIDENCE, Head, Piece};
+use linenproxy_fleet::section::FleetSection;
+use linenproxy_fleet::{Micros, hash};
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::{Duration, sleep};
+
+/// How often it lies.
+const ROUND: Duration = Duration::from_millis(100);
+/// Its name.
+const NAME: &str = "liar";
+
+fn now() -> Micros {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Micros::try_from(unix.as_micros()).unwrap_or(0)
+}
+
+/// Joins the fleet as any member does and, while it is told so, tells all of `others` that all of `servers` are sick. Runs
+/// for good.
+pub async fn lie(
+    section: FleetSection,
+    zone: &'static str,
+    servers: Vec<String>,
+    others: Vec<SocketAddr>,
+    lies: watch::Receiver<bool>,
+) {
+    let Ok(socket) = UdpSocket::bind(section.listen).await else { return };
+    let began = now();
+    let mut core = Core::new(&section, NAME, zone, began.unsigned_abs(), 1, began);
+    let (mut bytes, mut sequence) = (vec![0; 65_536], 0);
+    loop {
+        tokio::select! {
+            came = socket.recv_from(&mut bytes) => {
+                if let Ok((length, from)) = came {
+                    core.datagram(now(), from, &bytes[..length]);
+                }
+            }
+            () = sleep(ROUND) => core.tick(now()),
+        }
+        for (to, bytes) in core.effects().datagrams {
+            let _ = socket.try_send_to(&bytes, to);
+        }
+        if !*lies.borrow() {
+            continue;
+        }
+        let seen = now();
+        for chunk in servers.chunks(10) {
+            let head = Head { cluster: &section.cluster, sent: seen, content: Content::News };
+            let mut frame = frame::begin(&head);
+            for server in chunk {
+                sequence += 1;
+                let datum = Datum {
+                    origin: hash(NAME),
+                    incarnation: began.unsigned_abs(),
+                    sequence,
+                    zone: hash(zone),
+                    seen,
+                    process: Process { name: hash(server), started: 0 },
+                    sign: Sign::Sick,
+                };
+                if let Ok(bytes) = postcard::to_stdvec(&datum) {
+                    frame::add(&mut frame, &Piece { kind: EVIDENCE, bytes: &bytes });
+                }
+            }
+            for other in &others {
+                let _ = socket.try_send_to(&frame, *other);
+            }
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod draw;
 pub mod experiment;
 pub mod fronts;
+pub mod liar;
 pub mod live;
 pub mod net;
 pub mod outcome;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -5,12 +5,14 @@
 use crate::apps::Apps;
 use crate::audit::audit;
 use crate::draw::{Mood, Plan, Step};
-use crate::experiment::{Experiment, Variant};
+use crate::experiment::{Experiment, FaultKind, Variant};
 use crate::fronts::Fronts;
+use crate::liar::lie;
 use crate::net::{Clock, Net};
 use crate::record::{Record, Seen};
 use crate::relay::Datagrams;
 use crate::servers::Servers;
+use crate::site;
 use crate::supervisor::{Bringing, Supervised, Told};
 use crate::tally::{Beside, Tally, tally};
 use rustix::process::Signal;
@@ -94,6 +96,7 @@
     servers: Arc<Servers>,
     mood: watch::Sender<Mood>,
     datagrams: watch::Sender<Datagrams>,
+    lies: watch::Sender<bool>,
     fronts: Option<Fronts>,
     sidecars: Vec<Sidecar>,
     /// Faults that take their time, such as a stop.
@@ -186,15 +189,24 @@
     let (net, mood) = (Net::new(&experiment.network), watch::channel(Mood::Well).0);
     let servers =
         Servers::new(Arc::clone(plan), clock.clone(), record.clone(), experiment.topology.connections);
-    let datagrams = watch::channel(Datagrams::default()).0;
+    let (datagrams, lies) = (watch::channel(Datagrams::default()).0, watch::channel(false).0);
+    let liar = experiment.fault.iter().find(|f| f.kind == FaultKind::MemberLies);
     // Only who asks for a fleet has its sockets.
     let fronts = match variant.config.contains(FLEET) {
         true => {
-            let zones: Vec<usize> = plan.sidecars.iter().map(|spec| spec.zone).collect();
+            let mut zones: Vec<usize> = plan.sidecars.iter().map(|spec| spec.zone).collect();
+            // The last one is nobody's but a liar's.
+            zones.push(liar.and_then(|fault| fault.zone).unwrap_or(0));
             let hosts = |sidecar| (host(3, sidecar), host(4, sidecar));
             let opened = Fronts::open(&zones, hosts, &net, &datagrams.subscribe()).await;
             let (fronts, handles) = opened.map_err(io("no socket between sidecars"))?;
             tasks.0.extend(handles);
+            if let Some(zone) = liar.map(|_| zones[plan.sidecars.len()]) {
+                let others = fronts.addresses[..plan.sidecars.len()].iter().map(|a| a.front).collect();
+                let servers = plan.servers.iter().map(|s| s.name.clone()).collect();
+                let section = fronts.member(plan.sidecars.len());
+                tasks.spawn(lie(section, site::ZONES[zone], servers, others, lies.subscribe()));
+            }
             Some(fronts)
         }
         false => None,
@@ -249,7 +261,18 @@
             process.lock().await.ready().await.map_err(|what| PlayError::Start(number, what))?;
         }
     }
-    Ok(Stage { clock, record, net, servers, mood, datagrams, fronts, sidecars, under_way: Mutex::default() })
+    Ok(Stage {
+        clock,
+        record,
+        net,
+        servers,
+        mood,
+        datagrams,
+        lies,
+        fronts,
+        sidecars,
+        under_way: Mutex::default(),
+    })
 }
 
 impl Sidecar {
@@ -278,6 +301,7 @@
             Step::Slow(more) => self.net.slow(more),
             Step::Resets(share) => self.net.resets(share),
             Step::Datagrams(kind, share) => self.datagrams.send_modify(|faults| faults.set(kind, share)),
+            Step::Lies(on) => drop(self.lies.send_replace(on)),
             Step::Agents(mood) => drop(self.mood.send_replace(mood)),
             Step::SidecarPause(sidecar, on) => {
                 if let Some(process) = self.process(sidecar) {
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -736,8 +736,8 @@
             Step::Slow(more) => self.slow = more,
             Step::Resets(share) => self.resets = share,
             Step::Datagrams(kind, share) => self.faults.set(kind, share),
-            // Its list is drawn ahead here, and a call that fails changes nothing.
-            Step::Agents(_) => {}
+            // Its list is drawn ahead here, and a call that fails changes nothing; nobody lies.
+            Step::Agents(_) | Step::Lies(_) => {}
             Step::SidecarKill(sidecar) => {
                 let Some(instance) = self.current[sidecar].take() else { return };
                 self.instances[instance].dead = true;
