End a play whose sidecar's port is taken, with its words

The hard case of a taken port was not tested: a sidecar whose metrics address another process holds ends the play, which names the sidecar and the port.

--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -136,6 +136,24 @@
     assert!(said.contains("metrics.adress: unknown field"), "{said}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_port_that_is_taken_ends_the_play_and_names_the_sidecar_and_the_port() {
+    let holder = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let taken = holder.local_addr().expect("an address");
+    let experiment = Experiment { name: "short".to_owned(), ..Experiment::default() };
+    let plan = Arc::new(draw(&experiment, 7));
+    let folder = tempfile::tempdir().expect("a folder");
+    let config = format!("[metrics]\nenabled = true\naddress = \"{taken}\"\n");
+    let variant = Variant { config, ..Variant::default() };
+    let launch = Launch::Program(Bringing::plain(program("tinflow")));
+    let (sender, _progress) = watch::channel(Progress::default());
+    let played =
+        play(&experiment, &plan, &variant, &launch, folder.path(), &sender, &Record::default()).await;
+    let said = played.expect_err("it cannot start").to_string();
+    assert!(said.starts_with("sidecar 0 ended as it started"), "{said}");
+    assert!(said.contains(&format!("cannot listen on metrics.address {taken}")), "{said}");
+}
+
 fn lab(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_linenproxy-lab")).args(args).output().expect("it starts")
 }
