--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -107,7 +107,8 @@
     pub trials: u64,
     /// Verdicts that sent an endpoint to rest.
     pub rests: u64,
-    /// What was dropped, by reason, in the order of [`REASONS`].
+    /// What was dropped, by reason, in the order of [`REASONS`]; the census names them.
+    #[serde(skip)]
     pub dropped: [u64; REASONS.len()],
 }
 
@@ -283,10 +284,7 @@
     }
 
     fn drop_one(&mut self, why: Dropped) {
-        let place = REASONS.iter().position(|reason| *reason == why);
-        if let Some(count) = place.and_then(|place| self.counts.dropped.get_mut(place)) {
-            *count += 1;
-        }
+        self.counts.dropped[why as usize] += 1;
     }
 
     // ---- Datagrams ----
@@ -806,7 +804,7 @@
             members: self.members.values().map(|k| member(&k.member, Some(k.since))).collect(),
             rests: rests.collect(),
             evidence: self.table.len(),
-            dropped: REASONS.iter().copied().zip(self.counts.dropped).collect(),
+            dropped: REASONS.iter().map(|why| why.word()).zip(self.counts.dropped).collect(),
             counts: self.counts.clone(),
         }
     }
@@ -828,7 +826,7 @@
     /// Evidence held.
     pub evidence: usize,
     /// What was dropped, by reason.
-    pub dropped: BTreeMap<Dropped, u64>,
+    pub dropped: BTreeMap<&'static str, u64>,
     /// What it has done so far.
     pub counts: Counts,
 }
--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -49,8 +49,7 @@
 pub const ASK: u8 = 2;
 
 /// Why a datagram, or something in it, was dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Dropped {
     /// Longer than [`LONGEST`].
     TooLong,
@@ -77,7 +76,7 @@
 }
 
 impl Dropped {
-    /// Its word in metrics.
+    /// Its word in metrics and on pages.
     pub fn word(self) -> &'static str {
         match self {
             Self::TooLong => "too_long",
@@ -207,6 +206,13 @@
         assert_eq!(read(&later, "a").map(|_| ()), Err(Dropped::Version));
     }
 
+    #[test]
+    fn reasons_stand_in_the_order_of_their_numbers_and_have_words_of_their_own() {
+        assert!(REASONS.iter().enumerate().all(|(n, why)| *why as usize == n));
+        let words: std::collections::BTreeSet<_> = REASONS.iter().map(|why| why.word()).collect();
+        assert_eq!(words.len(), REASONS.len());
+    }
+
     proptest! {
         #[test]
         fn no_bytes_at_all_cause_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..1400), cut in 0usize..60) {
--- a/src/bin/tinflow/observer.rs
+++ b/src/bin/tinflow/observer.rs
@@ -191,12 +191,8 @@
             f.counter(name, what, &[]).absolute(value);
         }
         for (why, count) in &census.dropped {
-            f.counter(
-                "tinflow_fleet_dropped_total",
-                "What was dropped, by reason.",
-                &[("reason", why.word())],
-            )
-            .absolute(*count);
+            f.counter("tinflow_fleet_dropped_total", "What was dropped, by reason.", &[("reason", why)])
+                .absolute(*count);
         }
     }
 
--- a/src/choice/hearsay.rs
+++ b/src/choice/hearsay.rs
@@ -23,7 +23,8 @@
     pub(crate) fn heed(&mut self, now: Micros, words: Vec<Word>, out: &mut Vec<Action>) {
         for word in words {
             let Some(e) = self.endpoints.get_mut(word.endpoint).filter(|e| e.held) else { continue };
-            e.word = Some(word).filter(|w| matches!(w.rest, Rest::Yes | Rest::Trial) && now < w.until);
+            let word = Word { rest: if now < word.until { word.rest } else { Rest::No }, ..word };
+            e.word = Some(word).filter(|w| matches!(w.rest, Rest::Yes | Rest::Trial));
             if word.rest == Rest::Over && e.circuit != Circuit::Closed {
                 self.close(now, word.endpoint, out);
             } else if word.rest == Rest::Yes && self.set.limits.may_cancel {
@@ -46,8 +47,10 @@
     /// Past its bound a word counts as never said. Tells of attempts that are far later than any answer, and
     /// before their time is out.
     pub(crate) fn keep_words(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let words = self.sharing.words;
-        for (endpoint, e) in self.endpoints.iter_mut().enumerate().filter(|_| words) {
+        if !self.sharing.words {
+            return;
+        }
+        for (endpoint, e) in self.endpoints.iter_mut().enumerate() {
             e.word = e.word.filter(|w| now < w.until);
             let late = FAR_LATER * self.fleet.slow.max(e.slow);
             for f in e.flights.iter_mut().filter(|f| !f.told && !f.streaming && e.heard <= f.sent) {
