--- /dev/null
+++ b/crates/maintenance/src/act.rs
@@ -0,0 +1,24 @@
+//! Changes with what the leader is asked to do.
+
+use serde::{Deserialize, Serialize};
+
+use crate::event::Step;
+
+/// Something to do now, derived from the state alone: a successor derives the same, so each is repeated until its
+/// [`Event::Acted`](crate::Event::Acted) is agreed on.
+///
+/// The thing acted on keeps the highest token it has seen of each server and refuses a lower one with
+/// [`Answer::Refused`](crate::Answer::Refused). The way out (drain, take) has one token, the way back (return,
+/// call-back) a higher one, so a late word of the way out undoes no way back. A step that is done already is answered
+/// with `Done`; a call-back of a server that was taken with `Taken`, its token kept all the same.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Act {
+    /// The window's number.
+    pub window: u64,
+    /// The server's name.
+    pub server: String,
+    /// What to do.
+    pub step: Step,
+    /// The token to do it with.
+    pub token: u64,
+}
--- /dev/null
+++ b/crates/maintenance/src/view.rs
@@ -0,0 +1,100 @@
+//! Changes with what people are shown of windows and capacity.
+
+use serde::{Deserialize, Serialize};
+
+use crate::window::State;
+
+/// A window as people see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowView {
+    /// Its number.
+    pub window: u64,
+    /// The asker's name for it.
+    pub name: String,
+    /// The state of its seat that has the farthest to go.
+    pub state: State,
+    /// Whether a seat of it is late.
+    pub late: bool,
+    /// Whether the asker took it back.
+    pub cancelled: bool,
+    /// Its seats.
+    pub seats: Vec<SeatView>,
+}
+
+/// A seat as people see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeatView {
+    /// The server's name.
+    pub server: String,
+    /// Where it is.
+    pub state: State,
+    /// Whether it is over its length and overrun.
+    pub late: bool,
+    /// Planned or real start of the drain, in milliseconds of Unix time.
+    pub start_ms: Option<i64>,
+    /// End with overrun, in milliseconds of Unix time.
+    pub end_ms: Option<i64>,
+    /// The token of its acts; 0 before the first grant.
+    pub token: u64,
+    /// How often it was called back.
+    pub called_back: u32,
+    /// Why it was called back or closed before its work; empty if neither.
+    pub reason: String,
+}
+
+/// Capacity at a moment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CapacityView {
+    /// For all, then by each zone and group that the agreement names.
+    pub rooms: Vec<Room>,
+    /// Servers away, by grant, dead or unheard of.
+    pub away: u32,
+    /// Most that may be.
+    pub most_away: u32,
+    /// Whether every limit holds.
+    pub holds: bool,
+    /// What is debited, and why.
+    pub debits: Vec<Debit>,
+}
+
+/// Capacity under one limit, in weights.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// `all`, `zone NAME` or `group NAME`.
+    pub name: String,
+    /// What the list names.
+    pub listed: u64,
+    /// What is there.
+    pub present: u64,
+    /// What must stay.
+    pub keep: u64,
+}
+
+/// One server that does not count as there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Debit {
+    /// The server's name.
+    pub server: String,
+    /// Its weight.
+    pub weight: u32,
+    /// Why.
+    pub why: Why,
+    /// The window that has it, if one does.
+    pub window: Option<u64>,
+}
+
+/// Why a server is debited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Why {
+    /// A grant is open for it.
+    Granted,
+    /// A grant is open for it, and it is over its time.
+    Late,
+    /// Evidence says that it doesn't serve.
+    Sick,
+    /// There is no evidence, or it is too old, or of too few members.
+    Unheard,
+    /// It serves and was not yet seen warm.
+    Cold,
+}
--- /dev/null
+++ b/crates/maintenance/src/window.rs
@@ -0,0 +1,86 @@
+//! Changes with the life of a window: its servers' seats, their states, and how they are told to people.
+
+use serde::{Deserialize, Serialize};
+
+use crate::request::Request;
+
+/// A window that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Window {
+    /// Its number; grows with each window.
+    pub id: u64,
+    /// What was asked.
+    pub request: Request,
+    /// When it was asked, in milliseconds of Unix time.
+    pub asked_ms: i64,
+    /// One seat a server.
+    pub seats: Vec<Seat>,
+    /// Whether the asker took it back.
+    pub cancelled: bool,
+}
+
+/// One server's part in a window.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Seat {
+    /// The server's name.
+    pub server: String,
+    /// Where it is.
+    pub state: State,
+    /// Planned start of the drain while it waits, real start once it was granted, in milliseconds of Unix time.
+    pub start_ms: Option<i64>,
+    /// The token of its acts; 0 before the first grant.
+    pub token: u64,
+    /// Whether its drain was confirmed.
+    pub drained: bool,
+    /// Whether the return or call-back was confirmed, and when, in milliseconds of Unix time.
+    pub returned_ms: Option<i64>,
+    /// The least start that evidence of its return must show.
+    pub least_start: u64,
+    /// Whether it is over its length and overrun.
+    pub late: bool,
+    /// How often it was called back.
+    pub called_back: u32,
+    /// Why it was called back or closed before its work, in words; empty if neither.
+    pub reason: String,
+}
+
+/// Where a seat, or the window as a whole, is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Accepted; no time is found at the moment.
+    Asked,
+    /// Has a time.
+    Booked,
+    /// Granted: debited, and given no new work.
+    Draining,
+    /// No replica picks by a binding to it; it may be taken.
+    Clear,
+    /// Taken.
+    Away,
+    /// On its way back from away.
+    Returning,
+    /// On its way back without having been taken.
+    CalledBack,
+    /// Over.
+    Closed,
+}
+
+impl State {
+    /// Whether a grant is open: the server is debited whatever evidence says.
+    pub fn granted(self) -> bool {
+        matches!(self, State::Draining | State::Clear | State::Away | State::Returning | State::CalledBack)
+    }
+
+    /// Whether it waits for a grant.
+    pub fn waits(self) -> bool {
+        matches!(self, State::Asked | State::Booked)
+    }
+}
+
+impl Window {
+    /// Whether every seat is closed.
+    pub fn closed(&self) -> bool {
+        self.seats.iter().all(|seat| seat.state == State::Closed)
+    }
+}
