Decide on maintenance windows: plans, grants, call-back, credit, and what the leader does next

The machine of the maintenance crate answers its events: a request is accepted only with a plan in which nobody who had a time loses it (up to 32 orders placed at the earliest fit, the best kept), a grant is debited before anybody may act on it, the way out and the way back have a token each, capacity returns on evidence under a start of that return, and failures call back what drains in a stated order. due() and next_wake() follow from the state alone. capacity() answers none before there is an agreement.

--- /dev/null
+++ b/crates/maintenance/src/acted.rs
@@ -0,0 +1,129 @@
+//! Changes with what follows from what was done, and from words about it.
+
+use crate::event::{Answer, Outcome, Refusal, Step};
+use crate::machine::Machine;
+use crate::window::State;
+
+/// How far the tokens may be set forward at once by a token that was seen elsewhere: more is a wild answer, and must
+/// not use the numbers up.
+const MOST_SKIPPED: u64 = 1 << 32;
+
+impl Machine {
+    /// The window's and the seat's place.
+    fn seat(&self, window: u64, server: &str) -> Result<usize, Outcome> {
+        let found = self.windows.get(&window).and_then(|w| w.seats.iter().position(|s| s.server == server));
+        found.ok_or_else(|| {
+            Outcome::Refused(Refusal::Unknown(format!("window {window} with server {server:?}")))
+        })
+    }
+
+    /// Takes a window back.
+    pub(crate) fn cancel(&mut self, window: u64) -> Outcome {
+        match self.windows.get_mut(&window) {
+            None => Outcome::Refused(Refusal::Unknown(format!("window {window}"))),
+            Some(found) if found.cancelled || found.closed() => Outcome::Ignored,
+            Some(found) => {
+                found.cancelled = true;
+                Outcome::Taken
+            }
+        }
+    }
+
+    /// A clear counts for the drain whose token it names, once that drain is confirmed.
+    pub(crate) fn clear(&mut self, window: u64, server: &str, epoch: u64) -> Outcome {
+        let index = match self.seat(window, server) {
+            Ok(index) => index,
+            Err(refused) => return refused,
+        };
+        match self.windows.get_mut(&window).map(|w| &mut w.seats[index]) {
+            Some(seat) if seat.state == State::Draining && seat.drained && seat.token == epoch => {
+                seat.state = State::Clear;
+                Outcome::Taken
+            }
+            _ => Outcome::Ignored,
+        }
+    }
+
+    /// The work on a server is finished.
+    pub(crate) fn finished(&mut self, window: u64, server: &str) -> Outcome {
+        let index = match self.seat(window, server) {
+            Ok(index) => index,
+            Err(refused) => return refused,
+        };
+        if self.windows.get(&window).is_none_or(|w| w.seats[index].state != State::Away) {
+            return Outcome::Ignored;
+        }
+        self.send_back(window, index, State::Returning, "");
+        Outcome::Taken
+    }
+
+    /// Takes the answer to an act. One that belongs to another token or step than the seat's own changes nothing.
+    pub(crate) fn acted(
+        &mut self,
+        window: u64,
+        server: &str,
+        step: Step,
+        token: u64,
+        answer: Answer,
+    ) -> Outcome {
+        let index = match self.seat(window, server) {
+            Ok(index) => index,
+            Err(refused) => return refused,
+        };
+        let (at_ms, waits_for_clear) = (self.at_ms, self.waits_for_clear());
+        let Some(seat) = self.windows.get_mut(&window).map(|w| &mut w.seats[index]) else {
+            return Outcome::Ignored;
+        };
+        let takeable = seat.state == State::Clear || (!waits_for_clear && seat.state == State::Draining);
+        let expected = match step {
+            Step::Drain => seat.state == State::Draining && !seat.drained,
+            Step::Take => takeable,
+            Step::Return => seat.state == State::Returning && seat.returned_ms.is_none(),
+            Step::CallBack => seat.state == State::CalledBack && seat.returned_ms.is_none(),
+        };
+        if seat.token != token || !expected {
+            return Outcome::Ignored;
+        }
+        match (step, answer) {
+            (_, Answer::Refused { seen }) => return self.overtaken(window, index, step, seen),
+            (Step::Drain, Answer::Done { .. }) => seat.drained = true,
+            (Step::Take, Answer::Done { .. }) => {
+                seat.state = State::Away;
+                seat.least_start = seat.least_start.saturating_add(1);
+            }
+            (Step::CallBack, Answer::Taken) => {
+                seat.state = State::Away;
+                seat.least_start = seat.least_start.saturating_add(1);
+                seat.reason.clear();
+            }
+            (Step::Return, Answer::Done { started }) => {
+                seat.returned_ms = Some(at_ms);
+                // The platform knows whether the process is a new one; it can't be older than the one that went.
+                let before = seat.least_start.saturating_sub(1);
+                seat.least_start = started.map_or(seat.least_start, |started| started.max(before));
+            }
+            (Step::CallBack, Answer::Done { .. }) => seat.returned_ms = Some(at_ms),
+            (_, Answer::Failed | Answer::Taken) => return Outcome::Ignored,
+        }
+        Outcome::Taken
+    }
+
+    /// Somebody with a higher token has acted on the server. The seat goes on under one above that; but a clear of
+    /// before says nothing of what the other did, so a server that was to be taken is given back first.
+    fn overtaken(&mut self, window: u64, index: usize, step: Step, seen: u64) -> Outcome {
+        if seen > self.token.saturating_add(MOST_SKIPPED) {
+            return Outcome::Ignored;
+        }
+        self.token = self.token.max(seen);
+        if step == Step::Take {
+            self.send_back(window, index, State::CalledBack, "somebody else acted on it");
+            return Outcome::Taken;
+        }
+        self.token += 1;
+        let token = self.token;
+        if let Some(seat) = self.windows.get_mut(&window).map(|w| &mut w.seats[index]) {
+            seat.token = token;
+        }
+        Outcome::Taken
+    }
+}
--- /dev/null
+++ b/crates/maintenance/src/booking.rs
@@ -0,0 +1,202 @@
+//! Changes with how a request is answered, and how booked windows are planned anew.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::agreement::{Agreement, Invalid};
+use crate::event::{Booking, Outcome, Refusal};
+use crate::machine::Machine;
+use crate::plan::{OPEN_END_MS, Times, end_of};
+use crate::request::{MOST_NAMED, Request, Target};
+use crate::timeline::Piece;
+use crate::window::{Seat, State, Window};
+
+/// Most seats of open windows together: every server in one window, by the longest list.
+pub(crate) const MOST_SEATS: usize = 4_096;
+
+impl Machine {
+    /// Answers a request. It is accepted only with a plan in which no window that had a time loses it.
+    pub(crate) fn ask(&mut self, request: Request) -> Outcome {
+        let Some(agreement) = self.agreement.clone() else {
+            return Outcome::Refused(Refusal::NoAgreement);
+        };
+        if let Some(window) = self.windows.values().find(|w| w.request.name == request.name) {
+            if window.request == request {
+                return booked(window);
+            }
+            let reason = "is the name of another request";
+            return Outcome::Refused(Refusal::Invalid(Invalid::new("name", reason)));
+        }
+        if let Err(invalid) = request.check(&agreement, self.at_ms) {
+            return Outcome::Refused(Refusal::Invalid(invalid));
+        }
+        let names = match self.resolve(&request.target) {
+            Ok(names) => names,
+            Err(refusal) => return Outcome::Refused(refusal),
+        };
+        let open = self.windows.values().filter(|w| !w.closed());
+        let (count, seats) = open.fold((0u32, 0usize), |(n, s), w| (n + 1, s + w.seats.len()));
+        if count >= agreement.most_open {
+            let reason = format!("{} requests are open (most_open)", agreement.most_open);
+            return Outcome::Refused(Refusal::Full(reason));
+        }
+        if seats + names.len() > MOST_SEATS {
+            return Outcome::Refused(Refusal::Full(format!("{MOST_SEATS} servers are in open windows")));
+        }
+        let id = self.last_window + 1;
+        let window = Window {
+            id,
+            request,
+            asked_ms: self.at_ms,
+            seats: names.into_iter().map(Seat::new).collect(),
+            cancelled: false,
+        };
+        self.windows.insert(id, window);
+        match self.fit(&agreement, id) {
+            Ok(()) => {
+                self.last_window = id;
+                self.windows.get(&id).map_or(Outcome::Ignored, booked)
+            }
+            Err(infeasible) => {
+                self.windows.remove(&id);
+                infeasible
+            }
+        }
+    }
+
+    /// The servers of a target, by name.
+    fn resolve(&self, target: &Target) -> Result<Vec<String>, Refusal> {
+        let taken: BTreeSet<&str> = self
+            .windows
+            .values()
+            .flat_map(|w| &w.seats)
+            .filter(|seat| seat.state != State::Closed)
+            .map(|seat| seat.server.as_str())
+            .collect();
+        let names: BTreeSet<String> = match target {
+            Target::Servers(names) => {
+                if let Some(name) = names.iter().find(|name| !self.servers.contains_key(*name)) {
+                    return Err(Refusal::Unknown(format!("server {name:?} is not in the list")));
+                }
+                names.iter().cloned().collect()
+            }
+            Target::Group(group) => {
+                self.servers.iter().filter(|(_, k)| k.group == *group).map(|(name, _)| name.clone()).collect()
+            }
+            Target::Zone { zone, share_permille } => {
+                let mut all: Vec<&String> =
+                    self.servers.iter().filter(|(_, k)| k.zone == *zone).map(|(name, _)| name).collect();
+                let share = (all.len() * *share_permille as usize).div_ceil(1_000);
+                all.sort_by_key(|name| (taken.contains(name.as_str()), *name));
+                all.into_iter().take(share).cloned().collect()
+            }
+        };
+        match names.len() {
+            0 => Err(Refusal::Unknown("the list names no such server".into())),
+            1..=MOST_NAMED => Ok(names.into_iter().collect()),
+            _ => Err(Refusal::Full(format!("the target has more than {MOST_NAMED} servers"))),
+        }
+    }
+
+    /// Finds a plan with a new window in it: all planned anew, or else the new one around the times that were given.
+    fn fit(&mut self, agreement: &Agreement, id: u64) -> Result<(), Outcome> {
+        let ledger = self.ledger(agreement, self.at_ms);
+        let base = self.timeline(agreement, &ledger);
+        let pieces: Vec<Piece> =
+            self.windows.values().flat_map(|w| self.pieces(agreement, &ledger, w)).collect();
+        let had: Times = pieces.iter().map(|piece| self.start_of(piece)).collect();
+        let times = self.best(&base, agreement, &pieces);
+        let kept = |(index, piece): (usize, &Piece)| {
+            times[index].is_some() || (piece.window != id && had[index].is_none())
+        };
+        if pieces.iter().enumerate().all(kept) {
+            self.book(&pieces, &times);
+            return Ok(());
+        }
+        let mut around = base.clone();
+        for (piece, start) in pieces.iter().zip(&had) {
+            if let Some(start) = start {
+                around.put(piece, *start);
+            }
+        }
+        let (mut fits, mut block) = (true, None);
+        let (mut start_ms, mut end_ms) = (Some(i64::MAX), Some(i64::MIN));
+        let mut times = had.clone();
+        for (index, piece) in pieces.iter().enumerate().filter(|(_, piece)| piece.window == id) {
+            let found = around.place(piece, OPEN_END_MS);
+            let too_late = found.map_or(true, |start| start > piece.upper_ms);
+            if too_late && block.is_none() {
+                let tried = around.place(piece, piece.upper_ms).err();
+                block = tried.map(|block| self.against(&ledger, block, piece));
+            }
+            fits &= !too_late;
+            times[index] = found.ok();
+            match found {
+                Ok(start) => {
+                    start_ms = start_ms.map(|least| least.min(start));
+                    end_ms = end_ms.map(|most| most.max(start.saturating_add(piece.span_ms)));
+                    around.put(piece, start);
+                }
+                Err(_) => (start_ms, end_ms) = (None, None),
+            }
+        }
+        if fits {
+            self.book(&pieces, &times);
+            return Ok(());
+        }
+        let reason = block.unwrap_or_default();
+        Err(Outcome::Infeasible {
+            reason,
+            earliest_ms: start_ms,
+            end_ms: end_ms.filter(|_| start_ms.is_some()),
+        })
+    }
+
+    fn start_of(&self, piece: &Piece) -> Option<i64> {
+        let window = self.windows.get(&piece.window)?;
+        let starts = piece.seats.iter().map(|index| window.seats.get(*index).and_then(|seat| seat.start_ms));
+        let start = starts.max().flatten()?;
+        // A time that has passed is not kept for ever: whoever could not go then is planned anew.
+        (start >= self.at_ms).then_some(start)
+    }
+
+    fn book(&mut self, pieces: &[Piece], times: &Times) {
+        for (piece, time) in pieces.iter().zip(times) {
+            let Some(window) = self.windows.get_mut(&piece.window) else { continue };
+            for index in &piece.seats {
+                let seat = &mut window.seats[*index];
+                seat.start_ms = *time;
+                seat.state = if time.is_some() { State::Booked } else { State::Asked };
+            }
+        }
+    }
+
+    /// Plans all that waits anew.
+    pub(crate) fn replan(&mut self, agreement: &Agreement) {
+        let ledger = self.ledger(agreement, self.at_ms);
+        let pieces: Vec<Piece> =
+            self.windows.values().flat_map(|w| self.pieces(agreement, &ledger, w)).collect();
+        if pieces.is_empty() {
+            return;
+        }
+        let times = self.best(&self.timeline(agreement, &ledger), agreement, &pieces);
+        self.book(&pieces, &times);
+    }
+}
+
+/// The answer for an accepted window.
+fn booked(window: &Window) -> Outcome {
+    let waves = waves(window);
+    let times = window.seats.iter().map(|seat| Booking {
+        server: seat.server.clone(),
+        wave: seat.start_ms.and_then(|start| waves.get(&start).copied()).unwrap_or(0),
+        start_ms: seat.start_ms,
+        end_ms: end_of(window, seat),
+    });
+    Outcome::Booked { window: window.id, times: times.collect() }
+}
+
+/// Numbers of a window's waves, by their start.
+fn waves(window: &Window) -> BTreeMap<i64, u32> {
+    let starts: BTreeSet<i64> = window.seats.iter().filter_map(|seat| seat.start_ms).collect();
+    starts.into_iter().zip(0u32..).collect()
+}
--- /dev/null
+++ b/crates/maintenance/src/callback.rs
@@ -0,0 +1,75 @@
+//! Changes with who is called back when a failure has eaten the slack, and in which order.
+
+use crate::agreement::Agreement;
+use crate::machine::Machine;
+use crate::window::State;
+
+impl Machine {
+    /// Calls back what drains and was not taken, one after another, until the limits would hold with what was called
+    /// back: lowest class first; of those a server that drains before one that is clear; then the latest grant. Of a
+    /// window that can't be split all go with the first. Whose return would help no broken limit stays.
+    pub(crate) fn call_back(&mut self, agreement: &Agreement) {
+        if self.blacked_out(agreement, self.at_ms, self.at_ms.saturating_add(1)) {
+            for (id, index) in self.not_taken(|_| true) {
+                self.send_back(id, index, State::CalledBack, "a blackout began");
+            }
+            return;
+        }
+        let mut calls: Vec<(u64, usize)> = Vec::new();
+        let mut ledger = self.ledger(agreement, self.at_ms);
+        // What is on its way back already counts as if it were there.
+        for window in self.windows.values() {
+            for seat in window.seats.iter().filter(|seat| seat.state == State::CalledBack && !seat.late) {
+                if let Some(known) = self.servers.get(&seat.server) {
+                    ledger.credit(&seat.server, known);
+                }
+            }
+        }
+        let mut candidates: Vec<(i64, State, std::cmp::Reverse<u64>, u64, usize)> = Vec::new();
+        for (id, index) in self.not_taken(|_| true) {
+            let Some(window) = self.windows.get(&id) else { continue };
+            let seat = &window.seats[index];
+            let class = self.class(agreement, window);
+            candidates.push((class, seat.state, std::cmp::Reverse(seat.token), id, index));
+        }
+        candidates.sort();
+        for (_, _, _, id, index) in candidates {
+            let Some(window) = self.windows.get(&id).filter(|_| !calls.contains(&(id, index))) else {
+                continue;
+            };
+            let Some(known) = self.servers.get(&window.seats[index].server) else { continue };
+            let helps = ledger.crowded() || {
+                let touched: Vec<usize> = ledger.shape.of(known).collect();
+                ledger.broken().any(|number| touched.contains(&number))
+            };
+            if !helps {
+                continue;
+            }
+            for (other, seat) in window.seats.iter().enumerate() {
+                let together = other == index || !window.request.split;
+                if !together || !matches!(seat.state, State::Draining | State::Clear) {
+                    continue;
+                }
+                calls.push((id, other));
+                if let Some(known) = self.servers.get(&seat.server) {
+                    ledger.credit(&seat.server, known);
+                }
+            }
+        }
+        for (id, index) in calls {
+            self.send_back(id, index, State::CalledBack, "too little capacity was left");
+        }
+    }
+
+    /// Seats that drain or are clear, of the windows that match.
+    pub(crate) fn not_taken(&self, matches: impl Fn(&crate::window::Window) -> bool) -> Vec<(u64, usize)> {
+        let windows = self.windows.values().filter(|window| matches(window));
+        windows
+            .flat_map(|window| {
+                let seats = window.seats.iter().enumerate();
+                let out = seats.filter(|(_, s)| matches!(s.state, State::Draining | State::Clear));
+                out.map(|(index, _)| (window.id, index))
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/maintenance/src/due.rs
@@ -0,0 +1,76 @@
+//! Changes with what the leader has to do, and when it has to look again.
+
+use crate::act::Act;
+use crate::event::Step;
+use crate::machine::Machine;
+use crate::window::State;
+
+impl Machine {
+    /// What the leader is to do now, ways back first, then by window and server. `now_ms` is its own clock: a drain or
+    /// take is named only while evidence of that moment holds the agreement and no blackout is on, so a leader that
+    /// was deposed unknowing, or stopped, does neither for longer than evidence lives.
+    pub fn due(&self, now_ms: i64) -> Vec<Act> {
+        let Some(agreement) = &self.agreement else { return Vec::new() };
+        let now_ms = now_ms.max(self.at_ms);
+        let ledger = self.ledger(agreement, now_ms);
+        let blackout = self.blacked_out(agreement, now_ms, now_ms.saturating_add(1));
+        let mut acts = Vec::new();
+        for window in self.windows.values() {
+            for seat in &window.seats {
+                let step = match seat.state {
+                    State::CalledBack if seat.returned_ms.is_none() => Step::CallBack,
+                    State::Returning if seat.returned_ms.is_none() => Step::Return,
+                    State::Clear => Step::Take,
+                    State::Draining if !seat.drained => Step::Drain,
+                    State::Draining if !self.waits_for_clear() => Step::Take,
+                    _ => continue,
+                };
+                let out = matches!(step, Step::Drain | Step::Take);
+                if out && (blackout || window.cancelled || !self.holds_for(&ledger, &seat.server)) {
+                    continue;
+                }
+                acts.push(Act { window: window.id, server: seat.server.clone(), step, token: seat.token });
+            }
+        }
+        acts.sort_by_key(|act| (std::cmp::Reverse(act.step), act.window));
+        acts
+    }
+
+    /// When the leader should propose [`Event::Tick`](crate::Event::Tick) at the latest, in milliseconds of Unix time;
+    /// none if nothing waits for time to pass. Acts that are due are no reason to wake: they are repeated by whoever
+    /// performs them.
+    pub fn next_wake(&self, now_ms: i64) -> Option<i64> {
+        let agreement = self.agreement.as_ref()?;
+        let now_ms = now_ms.max(self.at_ms);
+        let mut moments: Vec<i64> = Vec::new();
+        let mut open = false;
+        for window in self.windows.values().filter(|w| !w.closed()) {
+            let (length, span) = (window.request.length_ms, window.request.span_ms());
+            for seat in &window.seats {
+                let start = seat.start_ms.unwrap_or(now_ms);
+                match seat.state {
+                    State::Asked | State::Booked => {
+                        moments.extend(seat.start_ms);
+                        moments.push(window.request.latest_ms.saturating_sub(span).saturating_add(1));
+                    }
+                    State::Draining | State::Clear => {
+                        open = true;
+                        moments.push(start.saturating_add(agreement.clear_most_ms.min(length)));
+                    }
+                    State::Away => moments.push(start.saturating_add(length)),
+                    State::Returning | State::CalledBack | State::Closed => {}
+                }
+                if seat.state.granted() {
+                    moments.push(start.saturating_add(span));
+                }
+            }
+        }
+        if open {
+            // The next blackout, and the moments at which evidence runs out, call back what drains.
+            moments.extend(self.calendar.spans.iter().map(|s| s.from_ms).find(|from| *from > now_ms));
+            let seen = self.servers.values().filter_map(|known| known.seen);
+            moments.extend(seen.map(|s| s.seen_ms.saturating_add(agreement.evidence_bound_ms)));
+        }
+        moments.into_iter().filter(|moment| *moment > self.at_ms).min()
+    }
+}
--- a/crates/maintenance/src/event.rs
+++ b/crates/maintenance/src/event.rs
@@ -164,6 +164,8 @@
         reason: String,
         /// The earliest start that would be feasible if the latest end were later, in milliseconds of Unix time.
         earliest_ms: Option<i64>,
+        /// The end of its last wave with overrun then, in milliseconds of Unix time.
+        end_ms: Option<i64>,
     },
     /// The event is taken.
     Taken,
--- /dev/null
+++ b/crates/maintenance/src/ledger.rs
@@ -0,0 +1,170 @@
+//! Changes with how capacity is counted at one moment: what is listed, what is there, what is debited.
+
+use std::collections::BTreeMap;
+
+use crate::agreement::Agreement;
+use crate::machine::Machine;
+use crate::servers::Known;
+use crate::view::{CapacityView, Debit, Room, Why};
+use crate::window::Seat;
+
+/// The limits in weights, each under a number: all servers together first, then zones and groups that have one.
+pub(crate) struct Shape<'a> {
+    pub(crate) keep: Vec<u64>,
+    names: Vec<String>,
+    zones: BTreeMap<&'a str, usize>,
+    groups: BTreeMap<&'a str, usize>,
+}
+
+impl<'a> Shape<'a> {
+    pub(crate) fn new(agreement: &'a Agreement) -> Self {
+        let mut shape = Shape {
+            keep: vec![agreement.keep],
+            names: vec!["all".into()],
+            zones: BTreeMap::new(),
+            groups: BTreeMap::new(),
+        };
+        for (zone, keep) in &agreement.keep_zone {
+            shape.zones.insert(zone, shape.keep.len());
+            shape.keep.push(*keep);
+            shape.names.push(format!("zone {zone}"));
+        }
+        for (group, keep) in &agreement.keep_group {
+            shape.groups.insert(group, shape.keep.len());
+            shape.keep.push(*keep);
+            shape.names.push(format!("group {group}"));
+        }
+        shape
+    }
+
+    /// Numbers of the limits that a server counts under.
+    pub(crate) fn of(&self, known: &Known) -> impl Iterator<Item = usize> {
+        let zone = self.zones.get(known.zone.as_str()).copied();
+        let group = self.groups.get(known.group.as_str()).copied();
+        [Some(0), zone, group].into_iter().flatten()
+    }
+
+    pub(crate) fn name(&self, number: usize) -> &str {
+        self.names.get(number).map_or("", String::as_str)
+    }
+}
+
+/// Capacity at one moment.
+pub(crate) struct Ledger<'a> {
+    pub(crate) shape: Shape<'a>,
+    pub(crate) listed: Vec<u64>,
+    pub(crate) present: Vec<u64>,
+    pub(crate) away: u32,
+    most_away: u32,
+    pub(crate) debits: BTreeMap<&'a str, (u32, Why, Option<u64>)>,
+}
+
+impl<'a> Ledger<'a> {
+    /// Whether every limit holds.
+    pub(crate) fn holds(&self) -> bool {
+        self.away <= self.most_away && self.broken().next().is_none()
+    }
+
+    /// Numbers of the limits in weights that do not hold.
+    pub(crate) fn broken(&self) -> impl Iterator<Item = usize> {
+        let pairs = self.present.iter().zip(&self.shape.keep).enumerate();
+        pairs.filter(|(_, (present, keep))| present < keep).map(|(number, _)| number)
+    }
+
+    /// Whether too many are away.
+    pub(crate) fn crowded(&self) -> bool {
+        self.away > self.most_away
+    }
+
+    /// Counts a server as away that counted as there.
+    pub(crate) fn debit(&mut self, name: &'a str, known: &Known, window: u64) {
+        if self.debits.insert(name, (known.weight, Why::Granted, Some(window))).is_none() {
+            self.away += 1;
+            for number in self.shape.of(known) {
+                self.present[number] -= u64::from(known.weight);
+            }
+        }
+    }
+
+    /// Counts a server as there that counted as away by grant.
+    pub(crate) fn credit(&mut self, name: &str, known: &Known) {
+        if self.debits.remove(name).is_some() {
+            self.away -= 1;
+            for number in self.shape.of(known) {
+                self.present[number] += u64::from(known.weight);
+            }
+        }
+    }
+
+    pub(crate) fn view(&self) -> CapacityView {
+        let rooms = (0..self.shape.keep.len()).map(|number| Room {
+            name: self.shape.name(number).into(),
+            listed: self.listed[number],
+            present: self.present[number],
+            keep: self.shape.keep[number],
+        });
+        let debits = self.debits.iter().map(|(server, (weight, why, window))| Debit {
+            server: (*server).into(),
+            weight: *weight,
+            why: *why,
+            window: *window,
+        });
+        CapacityView {
+            rooms: rooms.collect(),
+            away: self.away,
+            most_away: self.most_away,
+            holds: self.holds(),
+            debits: debits.collect(),
+        }
+    }
+}
+
+impl Machine {
+    /// Seats with an open grant, by server, with their window's number.
+    pub(crate) fn grants(&self) -> BTreeMap<&str, (u64, &Seat)> {
+        let seats = self.windows.values().flat_map(|w| w.seats.iter().map(move |seat| (w.id, seat)));
+        seats.filter(|(_, s)| s.state.granted()).map(|(id, s)| (s.server.as_str(), (id, s))).collect()
+    }
+
+    /// Capacity at `now_ms`, from evidence of that age and the grants that are open.
+    pub(crate) fn ledger<'a>(&'a self, agreement: &'a Agreement, now_ms: i64) -> Ledger<'a> {
+        let shape = Shape::new(agreement);
+        let zero = vec![0u64; shape.keep.len()];
+        let mut ledger = Ledger {
+            listed: zero.clone(),
+            present: zero,
+            away: 0,
+            most_away: agreement.most_away,
+            debits: BTreeMap::new(),
+            shape,
+        };
+        let grants = self.grants();
+        for (name, (window, seat)) in &grants {
+            if self.debits_grants() {
+                let weight = self.servers.get(*name).map_or(0, |known| known.weight);
+                let why = if seat.late { Why::Late } else { Why::Granted };
+                ledger.debits.insert(name, (weight, why, Some(*window)));
+            }
+        }
+        for (name, known) in &self.servers {
+            for number in ledger.shape.of(known) {
+                ledger.listed[number] += u64::from(known.weight);
+            }
+            if ledger.debits.contains_key(name.as_str()) {
+                continue;
+            }
+            match known.missing(now_ms, agreement.evidence_bound_ms) {
+                Some(why) => {
+                    ledger.debits.insert(name, (known.weight, why, None));
+                }
+                None => {
+                    for number in ledger.shape.of(known) {
+                        ledger.present[number] += u64::from(known.weight);
+                    }
+                }
+            }
+        }
+        ledger.away = u32::try_from(ledger.debits.len()).unwrap_or(u32::MAX);
+        ledger
+    }
+}
--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -5,11 +5,23 @@
 //! the state alone ([`Machine::due`]), so a successor goes on at the very step.
 
 mod act;
+mod acted;
+mod advance;
 mod agreement;
+mod booking;
 mod calendar;
+mod callback;
+mod due;
 mod event;
+mod grant;
+mod ledger;
 mod machine;
+mod order;
+mod plan;
+mod planted;
 mod request;
+mod servers;
+mod timeline;
 mod view;
 mod window;
 
@@ -19,5 +31,6 @@
 pub use event::{Answer, Booking, Event, Health, Outcome, Refusal, Server, Step, Word};
 pub use machine::Machine;
 pub use request::{FARTHEST_MS, LONGEST_NAME, MOST_NAMED, Request, Target};
+pub use servers::MOST_SERVERS;
 pub use view::{CapacityView, Debit, Room, SeatView, Why, WindowView};
 pub use window::{Seat, State, Window};
--- a/crates/maintenance/src/machine.rs
+++ b/crates/maintenance/src/machine.rs
@@ -1,15 +1,14 @@
 //! Changes with what the machine keeps, and with which part answers which event.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use crate::act::Act;
-use crate::agreement::Agreement;
+use crate::agreement::{Agreement, Invalid, MOST_RULES};
 use crate::calendar::{Span, merged};
 use crate::event::{Event, Outcome, Refusal};
 use crate::request::FARTHEST_MS;
-use crate::view::{CapacityView, WindowView};
+use crate::servers::Known;
 use crate::window::Window;
 
 /// The windows, what is known of the servers, and the last token. Serialized, it is the snapshot of all that.
@@ -23,7 +22,16 @@
     pub(crate) last_window: u64,
     pub(crate) agreement: Option<Agreement>,
     pub(crate) calendar: Calendar,
+    pub(crate) servers: BTreeMap<String, Known>,
     pub(crate) windows: BTreeMap<u64, Window>,
+    /// The token of each zone's last grant.
+    pub(crate) turns: BTreeMap<String, u64>,
+    /// Listed servers that evidence did not hold for there after the last event.
+    pub(crate) down: BTreeSet<String>,
+    /// Whether something happened since the last plan that may change it.
+    pub(crate) changed: bool,
+    #[cfg(test)]
+    pub(crate) planted: crate::planted::Planted,
 }
 
 /// The blackouts' times, as far as they are known.
@@ -42,36 +50,54 @@
     /// Takes the next agreed event. `at_ms` is its proposer's clock, in milliseconds of Unix time; one that lies
     /// before the last event's counts as that.
     pub fn apply(&mut self, at_ms: i64, event: Event) -> Outcome {
-        self.at_ms = self.at_ms.max(at_ms);
-        match event {
-            Event::Agreement(agreement) => match agreement.check() {
-                Ok(()) => {
-                    self.agreement = Some(agreement);
-                    Outcome::Taken
-                }
-                Err(invalid) => Outcome::Refused(Refusal::Invalid(invalid)),
-            },
-            _ => Outcome::Refused(Refusal::NoAgreement),
-        }
+        self.at_ms = self.at_ms.max(at_ms.clamp(0, LAST_MS));
+        let outcome = match event {
+            Event::Ask(request) => self.ask(request),
+            Event::Cancel { window } => self.cancel(window),
+            Event::Servers(list) => self.list(list),
+            Event::Evidence(words) => self.hear(words),
+            Event::Clear { window, server, epoch } => self.clear(window, &server, epoch),
+            Event::Finished { window, server } => self.finished(window, &server),
+            Event::Acted { window, server, step, token, result } => {
+                self.acted(window, &server, step, token, result)
+            }
+            Event::Tick => Outcome::Taken,
+            Event::Agreement(agreement) => self.agree(agreement),
+            Event::Calendar { until_ms, spans } => self.dates(until_ms, spans),
+        };
+        self.advance();
+        outcome
     }
 
-    /// What the leader is to do now, most urgent first. `now_ms` is its own clock: a drain or take is named only
-    /// while evidence of that moment holds the agreement, so a leader that was deposed unknowing stops by itself.
-    pub fn due(&self, now_ms: i64) -> Vec<Act> {
-        let _ = now_ms;
-        Vec::new()
+    fn agree(&mut self, agreement: Agreement) -> Outcome {
+        if let Err(invalid) = agreement.check() {
+            return Outcome::Refused(Refusal::Invalid(invalid));
+        }
+        if self.agreement.as_ref() == Some(&agreement) {
+            return Outcome::Ignored;
+        }
+        if self.agreement.as_ref().is_none_or(|last| last.blackouts != agreement.blackouts) {
+            self.calendar = Calendar::default();
+        }
+        self.agreement = Some(agreement);
+        self.changed = true;
+        Outcome::Taken
     }
 
-    /// When the leader should propose [`Event::Tick`] at the latest, in milliseconds of Unix time; none if nothing
-    /// waits for time to pass.
-    pub fn next_wake(&self, now_ms: i64) -> Option<i64> {
-        let _ = now_ms;
-        None
+    fn dates(&mut self, until_ms: i64, spans: Vec<Span>) -> Outcome {
+        let ordered = spans.windows(2).all(|pair| pair[0].until_ms <= pair[1].from_ms);
+        if spans.len() > MOST_SPANS || !ordered || spans.iter().any(|span| span.until_ms <= span.from_ms) {
+            let reason = format!("must be in order, apart, and at most {MOST_SPANS}");
+            return Outcome::Refused(Refusal::Invalid(Invalid::new("spans", reason)));
+        }
+        self.calendar = Calendar { until_ms, spans };
+        self.changed = true;
+        Outcome::Taken
     }
 
     /// The calendar that the leader should propose, if the one it has ends too soon.
     pub fn calendar_due(&self, now_ms: i64) -> Option<Event> {
-        let agreement = self.agreement.as_ref()?;
+        let agreement = self.agreement.as_ref().filter(|agreement| !agreement.blackouts.is_empty())?;
         let now = now_ms.max(self.at_ms);
         if self.calendar.until_ms >= now.saturating_add(FARTHEST_MS) {
             return None;
@@ -80,18 +106,11 @@
         let spans = merged(&agreement.blackouts, Span { from_ms: now, until_ms });
         Some(Event::Calendar { until_ms, spans })
     }
-
-    /// All windows, closed ones as long as they are kept, by number.
-    pub fn windows(&self) -> Vec<WindowView> {
-        Vec::new()
-    }
-
-    /// What is there at a moment, and what is debited and why.
-    pub fn capacity(&self, now_ms: i64) -> CapacityView {
-        let _ = now_ms;
-        CapacityView { rooms: Vec::new(), away: 0, most_away: 0, holds: false, debits: Vec::new() }
-    }
 }
 
 /// How far a new calendar reaches beyond the farthest request, in milliseconds: one is proposed each 30 days.
 const RENEW_MS: i64 = 30 * 86_400_000;
+/// The last moment that an event may have, in milliseconds of Unix time: the end of the year 9999.
+const LAST_MS: i64 = 253_402_300_799_999;
+/// Most times in a calendar: each blackout of an agreement once a month, in the time that a calendar reaches.
+const MOST_SPANS: usize = 16 * MOST_RULES;
--- /dev/null
+++ b/crates/maintenance/src/order.rs
@@ -0,0 +1,70 @@
+//! Changes with who goes first: priority and patience, turns between zones, and the orders that a plan tries.
+
+use std::collections::BTreeMap;
+
+use crate::agreement::Agreement;
+use crate::machine::Machine;
+use crate::timeline::Piece;
+use crate::window::Window;
+
+impl Machine {
+    /// Priority with what a window has gained by waiting.
+    pub(crate) fn class(&self, agreement: &Agreement, window: &Window) -> i64 {
+        let waited = self.at_ms.saturating_sub(window.asked_ms).max(0);
+        i64::from(window.request.priority).saturating_add(waited / agreement.patience_ms.max(1))
+    }
+
+    /// Indexes of the pieces in the order of that number, the same for all replicas. Class goes before all; within
+    /// one, order 0 gives zones their turns, 1 to 4 take the longest, heaviest, largest and most urgent first, later
+    /// ones are shuffled.
+    pub(crate) fn order(&self, agreement: &Agreement, pieces: &[Piece], number: usize) -> Vec<usize> {
+        let turns = self.turns(pieces);
+        let class = |piece: &Piece| self.windows.get(&piece.window).map_or(0, |w| self.class(agreement, w));
+        let mut order: Vec<(i64, i128, usize, usize)> = pieces
+            .iter()
+            .enumerate()
+            .map(|(index, piece)| {
+                let (span, weight) = (i128::from(piece.span_ms), i128::from(piece.full.weights[0].max(1)));
+                let key = match number {
+                    0 => 0,
+                    1 => -span,
+                    2 => -weight,
+                    3 => -span.saturating_mul(weight),
+                    4 => i128::from(piece.upper_ms),
+                    _ => i128::from(shuffle((number as u64) << 32 | index as u64)),
+                };
+                (-class(piece), key, turns[index], index)
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, _, _, index)| index).collect()
+    }
+
+    /// Each piece's turn: zones in rounds, the one whose last grant is oldest first; within a zone as they were asked.
+    fn turns(&self, pieces: &[Piece]) -> Vec<usize> {
+        let mut zones: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for (index, piece) in pieces.iter().enumerate() {
+            let zone = piece.servers.first().and_then(|name| self.servers.get(name));
+            zones.entry(zone.map_or("", |known| &known.zone)).or_default().push(index);
+        }
+        let mut rounds: Vec<(usize, u64, &str, usize)> = Vec::with_capacity(pieces.len());
+        for (zone, members) in zones {
+            let last = self.turns.get(zone).copied().unwrap_or(0);
+            rounds.extend(members.into_iter().enumerate().map(|(round, index)| (round, last, zone, index)));
+        }
+        rounds.sort_unstable();
+        let mut turns = vec![0; pieces.len()];
+        for (turn, (_, _, _, index)) in rounds.into_iter().enumerate() {
+            turns[index] = turn;
+        }
+        turns
+    }
+}
+
+/// A number's place in a shuffle: the finalizer of splitmix64 (Steele, Lea and Flood, 2014).
+fn shuffle(number: u64) -> u64 {
+    let mut z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/maintenance/src/plan.rs
@@ -0,0 +1,166 @@
+//! Changes with how windows that wait find their times: in which orders pieces are placed, and which plan is best.
+
+use std::collections::BTreeMap;
+
+use crate::agreement::Agreement;
+use crate::calendar::Span;
+use crate::ledger::Ledger;
+use crate::machine::Machine;
+use crate::timeline::{Block, Load, Piece, Timeline};
+use crate::window::{Seat, Window};
+
+/// Placements that one plan may try in all its orders together; keeps a plan of a thousand pieces under a second.
+const MOST_PLACEMENTS: usize = 8_192;
+/// Most orders that one plan tries, which small plans reach.
+const MOST_ORDERS: usize = 32;
+
+/// Times of the pieces, in the order of the pieces.
+pub(crate) type Times = Vec<Option<i64>>;
+
+/// The end of time for a search without latest end: beyond what any request may name.
+pub(crate) const OPEN_END_MS: i64 = i64::MAX / 4;
+
+impl Machine {
+    /// Loads by what is away now: by grant to its end, dead or unheard of for the time of a repair.
+    pub(crate) fn timeline<'a>(&'a self, agreement: &Agreement, ledger: &Ledger<'_>) -> Timeline<'a> {
+        let now = self.at_ms;
+        let repaired = now.saturating_add(agreement.repair_ms);
+        let most = Load {
+            away: i64::from(agreement.most_away),
+            weights: ledger.listed.iter().zip(&ledger.shape.keep).map(|(l, k)| gap(*l, *k)).collect(),
+        };
+        let known_until = if agreement.blackouts.is_empty() { i64::MAX } else { self.calendar.until_ms };
+        let mut timeline = Timeline::new(now, most, repaired, &self.calendar.spans, known_until);
+        let grants = self.grants();
+        for name in ledger.debits.keys() {
+            let mut load = Load::zero(ledger.listed.len());
+            load.away = 1;
+            if let Some(known) = self.servers.get(*name) {
+                ledger.shape.of(known).for_each(|number| load.weights[number] = i64::from(known.weight));
+            }
+            let end = match grants.get(name) {
+                Some((id, seat)) if !seat.late => {
+                    let span = self.windows.get(id).map_or(0, |w| w.request.span_ms());
+                    seat.start_ms.unwrap_or(now).saturating_add(span).max(now + 1)
+                }
+                _ => repaired,
+            };
+            let span = Span { from_ms: now, until_ms: end };
+            timeline.load(span, &load);
+            if grants.contains_key(name) {
+                timeline.occupy(name, span);
+            }
+        }
+        timeline
+    }
+
+    /// The pieces of a window that wait: its waves' single servers, or all together if it can't be split.
+    pub(crate) fn pieces(&self, agreement: &Agreement, ledger: &Ledger<'_>, window: &Window) -> Vec<Piece> {
+        let waiting: Vec<usize> =
+            (0..window.seats.len()).filter(|i| window.seats[*i].state.waits()).collect();
+        let groups: Vec<Vec<usize>> = match (window.request.split, waiting.is_empty()) {
+            (_, true) => Vec::new(),
+            (true, _) => waiting.into_iter().map(|index| vec![index]).collect(),
+            (false, _) => vec![waiting],
+        };
+        let request = &window.request;
+        groups
+            .into_iter()
+            .map(|seats| {
+                let mut piece = Piece {
+                    window: window.id,
+                    servers: seats.iter().map(|i| window.seats[*i].server.clone()).collect(),
+                    seats,
+                    live: Load::zero(ledger.listed.len()),
+                    full: Load::zero(ledger.listed.len()),
+                    lower_ms: request.earliest_ms.max(self.at_ms),
+                    upper_ms: request.latest_ms.saturating_sub(request.span_ms()),
+                    span_ms: request.span_ms(),
+                    hard_ms: match agreement.overrun_may_enter_blackout {
+                        true => request.length_ms,
+                        false => request.span_ms(),
+                    },
+                    listed: true,
+                };
+                for name in &piece.servers {
+                    let Some(known) = self.servers.get(name) else {
+                        piece.listed = false;
+                        continue;
+                    };
+                    let mut load = Load::zero(ledger.listed.len());
+                    load.away = 1;
+                    ledger.shape.of(known).for_each(|number| load.weights[number] = i64::from(known.weight));
+                    piece.full.add(&load);
+                    if !ledger.debits.contains_key(name.as_str()) {
+                        piece.live.add(&load);
+                    }
+                }
+                piece
+            })
+            .collect()
+    }
+
+    /// The best of several orders: most pieces placed first, then all ended soonest, then each zone, then each piece.
+    pub(crate) fn best(&self, base: &Timeline<'_>, agreement: &Agreement, pieces: &[Piece]) -> Times {
+        let orders = (MOST_PLACEMENTS / pieces.len().max(1)).clamp(1, MOST_ORDERS);
+        let mut best: Option<((usize, i64, i128, i128), Times)> = None;
+        for number in 0..orders {
+            let mut timeline = base.clone();
+            let mut times = vec![None; pieces.len()];
+            for index in self.order(agreement, pieces, number) {
+                if let Ok(start) = timeline.place(&pieces[index], pieces[index].upper_ms) {
+                    timeline.put(&pieces[index], start);
+                    times[index] = Some(start);
+                }
+            }
+            let rank = self.rank(pieces, &times);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, times));
+            }
+        }
+        best.map_or_else(Vec::new, |(_, times)| times)
+    }
+
+    fn rank(&self, pieces: &[Piece], times: &Times) -> (usize, i64, i128, i128) {
+        let unplaced = times.iter().filter(|time| time.is_none()).count();
+        let mut zones: BTreeMap<&str, i64> = BTreeMap::new();
+        let mut sum = 0i128;
+        for (piece, time) in pieces.iter().zip(times) {
+            let Some(start) = time else { continue };
+            let end = start.saturating_add(piece.span_ms);
+            sum += i128::from(end);
+            for zone in piece.servers.iter().filter_map(|name| self.servers.get(name)) {
+                let last = zones.entry(&zone.zone).or_insert(end);
+                *last = end.max(*last);
+            }
+        }
+        let last = zones.values().copied().max().unwrap_or(0);
+        (unplaced, last, zones.values().map(|end| i128::from(*end)).sum(), sum)
+    }
+
+    /// Words for what stands against a piece.
+    pub(crate) fn against(&self, ledger: &Ledger<'_>, block: Block, piece: &Piece) -> String {
+        match block {
+            Block::Count => "too many servers would be away at once (most_away)".into(),
+            Block::Weight(number) => {
+                let (name, keep) = (ledger.shape.name(number), ledger.shape.keep[number]);
+                let listed = ledger.listed[number];
+                format!("{name} would fall below {keep} of {listed}")
+            }
+            Block::Blackout => "a blackout, or a time of which blackouts are not yet known".into(),
+            Block::Busy => format!("{} is in another window", piece.servers.join(", ")),
+            Block::Unlisted => "a server is not in the list".into(),
+        }
+    }
+}
+
+/// What may be away: less than nothing where the list itself is below what must stay.
+fn gap(listed: u64, keep: u64) -> i64 {
+    let signed = |value: u64| i64::try_from(value).unwrap_or(i64::MAX / 2);
+    signed(listed) - signed(keep)
+}
+
+/// Real or planned end of a seat with overrun, in milliseconds of Unix time.
+pub(crate) fn end_of(window: &Window, seat: &Seat) -> Option<i64> {
+    Some(seat.start_ms?.saturating_add(window.request.span_ms()))
+}
--- a/crates/maintenance/src/view.rs
+++ b/crates/maintenance/src/view.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::window::State;
+use crate::machine::Machine;
+use crate::plan::end_of;
+use crate::window::{State, Window};
 
 /// A window as people see it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -98,3 +100,54 @@
     /// It serves and was not yet seen warm.
     Cold,
 }
+
+impl Machine {
+    /// All windows by number; closed ones as long as they are kept.
+    pub fn windows(&self) -> Vec<WindowView> {
+        self.windows.values().map(WindowView::new).collect()
+    }
+
+    /// What is there at a moment, and what is debited and why; none before there is an agreement.
+    pub fn capacity(&self, now_ms: i64) -> Option<CapacityView> {
+        let agreement = self.agreement.as_ref()?;
+        Some(self.ledger(agreement, now_ms.max(self.at_ms)).view())
+    }
+
+    /// The agreement that is in force.
+    pub fn agreement(&self) -> Option<&crate::Agreement> {
+        self.agreement.as_ref()
+    }
+
+    /// The last token that was given.
+    pub fn last_token(&self) -> u64 {
+        self.token
+    }
+}
+
+impl WindowView {
+    fn new(window: &Window) -> Self {
+        let seats: Vec<SeatView> = window
+            .seats
+            .iter()
+            .map(|seat| SeatView {
+                server: seat.server.clone(),
+                state: seat.state,
+                late: seat.late,
+                start_ms: seat.start_ms,
+                end_ms: end_of(window, seat),
+                token: seat.token,
+                called_back: seat.called_back,
+                reason: seat.reason.clone(),
+            })
+            .collect();
+        let state = seats.iter().map(|seat| seat.state).min().unwrap_or(State::Closed);
+        WindowView {
+            window: window.id,
+            name: window.request.name.clone(),
+            state,
+            late: seats.iter().any(|seat| seat.late),
+            cancelled: window.cancelled,
+            seats,
+        }
+    }
+}
--- a/crates/maintenance/src/window.rs
+++ b/crates/maintenance/src/window.rs
@@ -78,6 +78,24 @@
     }
 }
 
+impl Seat {
+    /// A seat that waits.
+    pub(crate) fn new(server: String) -> Self {
+        Seat {
+            server,
+            state: State::Asked,
+            start_ms: None,
+            token: 0,
+            drained: false,
+            returned_ms: None,
+            least_start: 0,
+            late: false,
+            called_back: 0,
+            reason: String::new(),
+        }
+    }
+}
+
 impl Window {
     /// Whether every seat is closed.
     pub fn closed(&self) -> bool {
