--- /dev/null
+++ b/crates/maintenance/tests/world/mod.rs
@@ -0,0 +1,204 @@
+//! Changes with what the tests' world is made of: servers, the thing acted on, and a network that loses and repeats.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use linenproxy_maintenance::{Act, Agreement, Answer, Event, Health, Server, Step, Word};
+
+/// A server as it really is.
+#[derive(Clone, Debug)]
+pub struct Real {
+    pub zone: String,
+    pub group: String,
+    pub weight: u32,
+    pub started: u64,
+    pub alive: bool,
+    pub drained: bool,
+    pub taken: bool,
+    /// Since when it is what evidence would not call well and warm; none while it is well and warm.
+    pub bad_since: Option<i64>,
+    pub warm_at: i64,
+    /// Highest token that the thing acted on has seen of it.
+    pub seen: u64,
+    /// The token of the drain that is on.
+    pub drain_token: u64,
+    pub drained_at: i64,
+    /// Tokens under which a drain took hold.
+    pub drains: Vec<u64>,
+    pub taken_at: i64,
+}
+
+/// All servers, and the thing acted on.
+#[derive(Clone, Debug, Default)]
+pub struct World {
+    pub now: i64,
+    pub servers: BTreeMap<String, Real>,
+    /// Tokens of drains whose clear was given.
+    pub cleared: Vec<u64>,
+    /// Rules that were broken, in words.
+    pub broken: Vec<String>,
+    pub tokens_refused: u64,
+    pub drains: u64,
+    pub takes: u64,
+}
+
+impl World {
+    pub fn add(&mut self, name: &str, zone: &str, group: &str, weight: u32) {
+        let real = Real {
+            zone: zone.into(),
+            group: group.into(),
+            weight,
+            started: 1,
+            alive: true,
+            drained: false,
+            taken: false,
+            bad_since: None,
+            warm_at: i64::MIN,
+            seen: 0,
+            drain_token: 0,
+            drained_at: 0,
+            drains: Vec::new(),
+            taken_at: 0,
+        };
+        self.servers.insert(name.into(), real);
+    }
+
+    pub fn list(&self) -> Event {
+        let servers = self.servers.iter().map(|(name, real)| Server {
+            name: name.clone(),
+            zone: real.zone.clone(),
+            group: real.group.clone(),
+            weight: real.weight,
+            started: real.started,
+        });
+        Event::Servers(servers.collect())
+    }
+
+    /// Moves the clock, and what follows from it.
+    pub fn pass(&mut self, ms: i64) {
+        self.now += ms;
+        for real in self.servers.values_mut() {
+            let good = real.alive && !real.taken && self.now >= real.warm_at;
+            real.bad_since = if good { None } else { real.bad_since.or(Some(self.now)) };
+        }
+    }
+
+    pub fn word(&self, name: &str, age_ms: u64) -> Word {
+        let real = &self.servers[name];
+        Word {
+            server: name.into(),
+            state: if real.alive && !real.taken { Health::Well } else { Health::Sick },
+            warm: self.now >= real.warm_at,
+            started: real.started,
+            age_ms,
+            enough: true,
+        }
+    }
+
+    pub fn kill(&mut self, name: &str) {
+        let now = self.now;
+        let real = self.servers.get_mut(name).expect("a server of this world");
+        real.alive = false;
+        real.bad_since = real.bad_since.or(Some(now));
+    }
+
+    pub fn revive(&mut self, name: &str, warm_ms: i64) {
+        let now = self.now;
+        let real = self.servers.get_mut(name).expect("a server of this world");
+        if !real.alive {
+            real.alive = true;
+            real.started += 1;
+            real.warm_at = now + warm_ms;
+            real.bad_since = real.bad_since.or(Some(now));
+        }
+    }
+
+    /// What the thing acted on does, as the crate's page asks of it. `checks` tokens or not.
+    pub fn act(&mut self, act: &Act, warm_ms: i64, checks: bool) -> Answer {
+        let now = self.now;
+        let Some(real) = self.servers.get_mut(&act.server) else { return Answer::Failed };
+        if checks && act.token < real.seen {
+            self.tokens_refused += 1;
+            return Answer::Refused { seen: real.seen };
+        }
+        real.seen = real.seen.max(act.token);
+        match act.step {
+            Step::Drain => {
+                if !real.drained && !real.taken {
+                    real.drained = true;
+                    real.drain_token = act.token;
+                    real.drained_at = now;
+                    self.drains += 1;
+                    if real.drains.contains(&act.token) {
+                        self.broken.push(format!("{} drained twice under {}", act.server, act.token));
+                    }
+                    real.drains.push(act.token);
+                }
+                Answer::Done { started: None }
+            }
+            Step::Take => {
+                if !real.taken {
+                    if !real.drained || real.drain_token != act.token || !self.cleared.contains(&act.token) {
+                        self.broken.push(format!("{} taken before it was clear", act.server));
+                    }
+                    real.taken = true;
+                    real.taken_at = now;
+                    real.bad_since = real.bad_since.or(Some(now));
+                    self.takes += 1;
+                }
+                Answer::Done { started: None }
+            }
+            Step::Return => {
+                if real.taken {
+                    real.taken = false;
+                    real.started += 1;
+                    real.warm_at = now + warm_ms;
+                    real.bad_since = Some(now);
+                }
+                real.drained = false;
+                Answer::Done { started: Some(real.started) }
+            }
+            Step::CallBack if real.taken => Answer::Taken,
+            Step::CallBack => {
+                real.drained = false;
+                Answer::Done { started: None }
+            }
+        }
+    }
+
+    /// Whether the limits that a server counts under hold with the given ones away by grant, counting as away what has
+    /// been bad for `bound_ms`.
+    pub fn holds(&self, agreement: &Agreement, server: &str, granted: &[String], bound_ms: i64) -> bool {
+        let (zone_of, group_of) = (&self.servers[server].zone, &self.servers[server].group);
+        let there = |name: &String, real: &Real| {
+            !granted.contains(name) && real.bad_since.is_none_or(|since| self.now - since < bound_ms)
+        };
+        let sum = |pick: &dyn Fn(&Real) -> bool| -> u64 {
+            let all = self.servers.iter().filter(|(name, real)| there(name, real) && pick(real));
+            all.map(|(_, real)| u64::from(real.weight)).sum()
+        };
+        let away = self.servers.iter().filter(|(name, real)| !there(name, real)).count();
+        sum(&|_| true) >= agreement.keep
+            && agreement.keep_zone.get(zone_of).is_none_or(|keep| sum(&|r| r.zone == *zone_of) >= *keep)
+            && agreement.keep_group.get(group_of).is_none_or(|keep| sum(&|r| r.group == *group_of) >= *keep)
+            && away <= agreement.most_away as usize
+    }
+}
+
+/// An agreement with the given limits, and short times.
+pub fn agreement(keep: u64, keep_zone: &[(&str, u64)], most_away: u32) -> Agreement {
+    Agreement {
+        keep,
+        keep_zone: keep_zone.iter().map(|(zone, keep)| (zone.to_string(), *keep)).collect(),
+        keep_group: BTreeMap::new(),
+        most_away,
+        blackouts: Vec::new(),
+        overrun_most_permille: 1_000,
+        overrun_may_enter_blackout: false,
+        most_open: 64,
+        evidence_bound_ms: 5_000,
+        clear_most_ms: 60_000,
+        repair_ms: 60_000,
+        patience_ms: 600_000,
+    }
+}
