Give a silent watch up before what it misses counts as told

Change: a watch waits for 3 s at most: the 6 s after which what it missed counts as told, less a second each for its own answer and for two further calls, of which one may fail. A shorter wait costs no line of the list. Waits differ by a quarter by chance, so that sidecars that were answered at once do not all ask again at once.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -15,11 +15,17 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout};
 
-/// How long a watch lets discovery wait for news.
-const WATCH: Duration = Duration::from_secs(20);
+/// What a silent watch misses counts as told this long after it fell silent, as the protocol has it.
+const TOLD: Duration = Duration::from_secs(6);
 /// How long a connection, and how much longer than a watch or a plain call an answer, may take: this bounds one to
-/// which nothing comes back at all. What is to be told counts as told 2 s after a watch has ended.
+/// which nothing comes back at all.
 const PATIENCE: Duration = Duration::from_secs(1);
+/// How long a watch lets discovery wait for news at the most. One that falls silent as it begins is so given up, asked
+/// for anew in vain and asked for once more before what it missed counts as told. Discovery sends no line of the list
+/// for a watch that ends without news, so a shorter one is not dearer to it.
+const WATCH: Duration = TOLD.saturating_sub(PATIENCE.saturating_mul(3));
+/// Least wait, as a part of that: sidecars whose watches were answered at once must not all ask again at once.
+const LEAST_WAIT: f64 = 0.75;
 /// Least time from one watch call to the next. A watch is only kept when the next call goes within 200 ms of
 /// the last answer; less than that keeps a discovery that answers at once from being called in a tight loop.
 const SPACING: Duration = Duration::from_millis(50);
@@ -41,9 +47,11 @@
 pub async fn run(
     mut at: watch::Receiver<SocketAddr>,
     known: Option<u64>,
+    seed: u64,
     mut asks: mpsc::UnboundedReceiver<Ask>,
     inputs: Inputs,
 ) {
+    let mut rng = fastrand::Rng::with_seed(seed);
     let index = Rc::new(Cell::new(known));
     let mut watching: Option<AbortHandle> = None;
     loop {
@@ -65,7 +73,7 @@
             // One that runs goes on: a second would only put more load on discovery.
             Ask::Watch if watching.as_ref().is_some_and(|w| !w.is_finished()) => {}
             Ask::Watch => {
-                let task = keep_watching(at, Rc::clone(&index), inputs.clone());
+                let task = keep_watching(at, rng.fork(), Rc::clone(&index), inputs.clone());
                 watching = Some(spawn_local(task).abort_handle());
             }
             Ask::StopWatch => {
@@ -85,11 +93,13 @@
 }
 
 /// Call after call until one fails; the module then says when to begin anew.
-async fn keep_watching(at: SocketAddr, index: Rc<Cell<Option<u64>>>, inputs: Inputs) {
+async fn keep_watching(at: SocketAddr, mut rng: fastrand::Rng, index: Rc<Cell<Option<u64>>>, inputs: Inputs) {
     let mut link = None;
     loop {
         let next = Instant::now() + SPACING;
-        if !tell(call(at, &mut link, index.get()).await, &index, &inputs) {
+        let after =
+            index.get().map(|index| (index, WATCH.mul_f64(LEAST_WAIT + (1.0 - LEAST_WAIT) * rng.f64())));
+        if !tell(call(at, &mut link, after).await, &index, &inputs) {
             return;
         }
         sleep_until(next).await;
@@ -111,11 +121,15 @@
     }
 }
 
-/// One call, over the connection of the last one where that is still good. Bounded in time and in size: a
+/// One call, for news after a version within some time where that is given, over the connection of the last one where that is still good. Bounded in time and in size: a
 /// discovery that is cut off says nothing at all.
-async fn call(at: SocketAddr, link: &mut Option<Connection>, after: Option<u64>) -> Result<HostList, String> {
+async fn call(
+    at: SocketAddr,
+    link: &mut Option<Connection>,
+    after: Option<(u64, Duration)>,
+) -> Result<HostList, String> {
     let (path, wait) = match after {
-        Some(index) => (format!("/discovery/hosts?after={index}&wait_ms={}", WATCH.as_millis()), WATCH),
+        Some((index, wait)) => (format!("/discovery/hosts?after={index}&wait_ms={}", wait.as_millis()), wait),
         None => ("/discovery/hosts".to_owned(), Duration::ZERO),
     };
     match timeout(wait + PATIENCE, exchange(at, link, &path)).await {
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -133,7 +133,8 @@
     closed.fetch_add(1, Ordering::SeqCst);
 }
 
-fn answer(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) {
+/// Writes an answer.
+pub fn answer(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) {
     let head = format!("HTTP/1.1 {status} stub\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
     let whole: Vec<u8> = head.bytes().chain(body.iter().copied()).collect();
     // The sidecar may have given up on it.
