Part the lab's large files by concept and end the circle of list and draw

directory.rs used the plan that draw.rs drew, and draw.rs the changes that directory.rs holds. What a play consists of is now plan.rs, the list's form on the wire listing.rs; draw.rs parts into requests and faults.

--- a/crates/lab/src/agent.rs
+++ b/crates/lab/src/agent.rs
@@ -2,9 +2,10 @@
 //! "Discovery").
 
 use crate::Us;
-use crate::directory::{self, State};
-use crate::draw::{Mood, Plan};
+use crate::directory::State;
+use crate::listing;
 use crate::net::Clock;
+use crate::plan::{Mood, Plan};
 use crate::record::{Record, Seen};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -77,7 +78,7 @@
 
     fn list(&self, entries: &[(usize, State)], heard: usize, whole: bool) -> serde_json::Value {
         let address = |server: usize| self.addresses[server];
-        directory::list(&self.plan, entries, heard, whole, address, self.clock.began_ms())
+        listing::list(&self.plan, entries, heard, whole, address, self.clock.began_ms())
     }
 
     async fn answer(
--- a/crates/lab/src/apps.rs
+++ b/crates/lab/src/apps.rs
@@ -2,8 +2,8 @@
 //! before, and tries again by itself. Changes with how clients behave (PROTOCOL, BRIEF).
 
 use crate::Us;
-use crate::draw::{Arrival, Plan};
 use crate::net::Clock;
+use crate::plan::{Arrival, Plan};
 use crate::record::{Record, Seen, Try};
 use crate::servers::{Servers, arrival_of, try_number};
 use crate::site::{CLASSES, CLIENT_RETRIES, Repeat};
--- /dev/null
+++ b/crates/lab/src/bin/linenproxy-lab/up.rs
@@ -0,0 +1,68 @@
+//! A small fleet with load, shown as it goes on. Changes with what a newcomer is shown.
+
+use crate::call::Up;
+use crate::{REFRESH, kept, program, say};
+use linenproxy_common::cli::Exit;
+use linenproxy_common::config;
+use linenproxy_common::units::Time;
+use linenproxy_lab::draw::draw;
+use linenproxy_lab::experiment::{Experiment, Variant};
+use linenproxy_lab::live::Live;
+use linenproxy_lab::outcome::Measure;
+use linenproxy_lab::play::{Progress, play};
+use linenproxy_lab::record::Record;
+use linenproxy_lab::report::figure;
+use linenproxy_lab::supervisor::READY_WITHIN;
+use std::io::{IsTerminal, Write};
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Brings it up until it is told to end.
+pub async fn bring_up(up: Up) -> Result<Exit, Exit> {
+    let mut experiment = Experiment { name: "up".to_owned(), ..Experiment::default() };
+    (experiment.topology.sidecars, experiment.topology.servers) = (up.sidecars, up.servers);
+    (experiment.load.rate, experiment.load.lasts) = (up.rate, up.lasts);
+    let config = match &up.config {
+        Some(file) => std::fs::read_to_string(file)
+            .map_err(|e| say(&format!("cannot read {}: {e}", file.display()), Exit::Io))?,
+        None => String::new(),
+    };
+    experiment.variant = vec![Variant { name: "up".to_owned(), program: None, config }];
+    config::Configuration::check(&experiment)
+        .map_err(|c| say(&format!("{}: {}", c.key, c.what), Exit::Usage))?;
+    let launch = kept(program(up.program)?, Time(READY_WITHIN));
+    let folder = tempfile::tempdir().map_err(|e| say(&format!("cannot make a folder: {e}"), Exit::Io))?;
+    let plan = Arc::new(draw(&experiment, fastrand::u64(..)));
+    let (sender, _progress) = watch::channel(Progress::default());
+    let record = Record::default();
+    let played = play(&experiment, &plan, &experiment.variant[0], &launch, folder.path(), &sender, &record);
+    let mut live = Live::new(&plan, record.clone());
+    let show = async {
+        loop {
+            let since = Instant::now();
+            sleep(REFRESH).await;
+            let home = if std::io::stdout().is_terminal() { "\x1b[H\x1b[J" } else { "" };
+            let head = format!(
+                "{} sidecars, {} servers, logs in {}; Ctrl-C ends all\n\n",
+                up.sidecars,
+                up.servers,
+                folder.path().display()
+            );
+            let table = live.table(since.elapsed().as_secs_f64());
+            if writeln!(std::io::stdout(), "{home}{head}{table}").is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        tally = played => {
+            let tally = tally.map_err(|e| say(&e, Exit::Unavailable))?;
+            let served = tally.measures[&Measure::Served];
+            let _ = writeln!(std::io::stdout(), "served {} of the worth; {} rules broken", figure(served), tally.findings.len());
+            Ok(if tally.findings.is_empty() { Exit::Done } else { Exit::Failed })
+        }
+        () = show => Ok(Exit::Done),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/door.rs
@@ -0,0 +1,229 @@
+//! Listeners that stand before a process: up, down or unreachable as it is. Changes with how a door is held shut.
+
+use crate::relay::Link;
+use socket2::SockRef;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Whether a process listens behind a door; the number tells one life of it from the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Life {
+    /// It runs.
+    pub up: bool,
+    /// The how-manieth.
+    pub number: u64,
+}
+
+/// Connections that the system may hold until they are accepted.
+const BACKLOG: i32 = 1024;
+/// How long a connection that fills a queue may take; one that does not come up shows that the queue is full.
+const FILLING: Duration = Duration::from_millis(30);
+/// Such connections at most.
+const MOST_FILLERS: usize = 8;
+/// Pause before a door is tried again that could not be opened: a port may still be held by what went before.
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG as u32)
+}
+
+/// A listener that behaves as the process behind it and the way to it: refused while the process is down; never up
+/// while the way is cut. Bound from the beginning, so that its port stays its own.
+pub struct Door {
+    listener: Option<TcpListener>,
+    address: SocketAddr,
+    life: watch::Receiver<Life>,
+    link: Link,
+}
+
+impl Door {
+    /// Binds a port of the system's choice on that host.
+    pub fn bind(host: std::net::IpAddr, life: watch::Receiver<Life>, link: Link) -> io::Result<Self> {
+        let listener = listen(SocketAddr::new(host, 0))?;
+        let address = listener.local_addr()?;
+        Ok(Self { listener: Some(listener), address, life, link })
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts connections for good, and hands each over with the life that it belongs to.
+    pub async fn run(mut self, serve: impl Fn(TcpStream, u64)) {
+        let mut changes = self.link.net.subscribe();
+        loop {
+            let life = *self.life.borrow_and_update();
+            if !life.up {
+                self.listener = None;
+                if self.life.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let Some(listener) = &self.listener else {
+                match listen(self.address) {
+                    Ok(listener) => self.listener = Some(listener),
+                    Err(_) => sleep(PAUSE).await,
+                }
+                continue;
+            };
+            changes.borrow_and_update();
+            if !self.link.opens() {
+                let fillers = fill(listener, self.address).await;
+                tokio::select! {
+                    changed = changes.changed() => if changed.is_err() { return },
+                    changed = self.life.changed() => if changed.is_err() { return },
+                }
+                if self.link.opens() {
+                    drain(listener).await;
+                    let _ = SockRef::from(listener).listen(BACKLOG);
+                }
+                drop(fillers);
+                continue;
+            }
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => serve(stream, life.number),
+                    Err(_) => sleep(PAUSE).await,
+                },
+                changed = changes.changed() => if changed.is_err() { return },
+                changed = self.life.changed() => if changed.is_err() { return },
+            }
+        }
+    }
+}
+
+/// Makes the system drop what wants to connect: a queue of none, and one connection in it. Nothing is accepted
+/// meanwhile.
+async fn fill(listener: &TcpListener, at: SocketAddr) -> Vec<TcpStream> {
+    let _ = SockRef::from(listener).listen(0);
+    let mut fillers = Vec::new();
+    while fillers.len() < MOST_FILLERS
+        && let Ok(Ok(filler)) = timeout(FILLING, TcpStream::connect(at)).await
+    {
+        fillers.push(filler);
+    }
+    fillers
+}
+
+/// Resets what came into the queue before it was full.
+async fn drain(listener: &TcpListener) {
+    while let Ok(Ok((stream, _))) = timeout(Duration::from_millis(1), listener.accept()).await {
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::experiment::{Network, Way};
+    use crate::net::Net;
+    use crate::relay::join;
+    use std::net::{IpAddr, Ipv4Addr};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt, split};
+
+    const LONG: Duration = Duration::from_secs(20);
+    const HOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+    /// An echo behind a door, in zone 1, for who dials in zone 0.
+    async fn echo() -> (SocketAddr, Net, watch::Sender<Life>) {
+        let net = Net::new(&Network::default());
+        let (life, lives) = watch::channel(Life { up: true, number: 1 });
+        let link = Link { net: net.clone(), from: 0, to: 1 };
+        let door = Door::bind(HOST, lives.clone(), link.clone()).expect("a free port");
+        let address = door.address();
+        tokio::spawn(door.run(move |stream, number| {
+            let (link, mut lives) = (link.clone(), lives.clone());
+            let (near, far) = tokio::io::duplex(1024);
+            tokio::spawn(async move {
+                let (mut read, mut write) = split(far);
+                let _ = tokio::io::copy(&mut read, &mut write).await;
+                let _ = write.shutdown().await;
+            });
+            tokio::spawn(async move {
+                let ended = async move {
+                    let _ = lives.wait_for(|l| !l.up || l.number != number).await;
+                };
+                join(stream, near, link, ended).await;
+            });
+        }));
+        (address, net, life)
+    }
+
+    async fn said(stream: &mut TcpStream, what: &[u8]) -> io::Result<Vec<u8>> {
+        stream.write_all(what).await?;
+        let mut back = vec![0; what.len()];
+        stream.read_exact(&mut back).await?;
+        Ok(back)
+    }
+
+    #[tokio::test]
+    async fn what_is_said_comes_back_and_a_close_is_passed_on() {
+        let (address, _net, _life) = echo().await;
+        let mut stream = TcpStream::connect(address).await.expect("it is up");
+        assert_eq!(said(&mut stream, b"hello").await.expect("an echo"), b"hello");
+        stream.shutdown().await.expect("it closes");
+        assert_eq!(stream.read(&mut [0; 8]).await.expect("a close"), 0);
+    }
+
+    #[tokio::test]
+    async fn a_cut_says_nothing_and_breaks_only_what_was_said_into_it() {
+        let (address, net, _life) = echo().await;
+        let (mut idle, mut busy) =
+            (TcpStream::connect(address).await.expect("up"), TcpStream::connect(address).await.expect("up"));
+        for stream in [&mut idle, &mut busy] {
+            said(stream, b"before").await.expect("an echo");
+        }
+        net.cut(1, Way::In, true);
+        let into = timeout(Duration::from_millis(200), said(&mut busy, b"into")).await;
+        assert!(into.is_err(), "something was said: {into:?}");
+        // The door hears of the cut in its own time; from then on nothing comes up.
+        let comes_up =
+            async || timeout(Duration::from_millis(200), TcpStream::connect(address)).await.is_ok();
+        let mut tries = 0;
+        while comes_up().await {
+            tries += 1;
+            assert!(tries < 50, "connections still come up");
+        }
+        net.cut(1, Way::In, false);
+        assert!(timeout(LONG, busy.read(&mut [0; 1])).await.expect("an end").is_err(), "no reset");
+        assert_eq!(
+            timeout(LONG, said(&mut idle, b"after")).await.expect("an echo").expect("an echo"),
+            b"after"
+        );
+        let mut fresh = timeout(LONG, TcpStream::connect(address)).await.expect("in time").expect("it is up");
+        let mut echoed = said(&mut fresh, b"again").await;
+        while echoed.is_err() {
+            // It came into the queue while that was being cleared.
+            fresh = timeout(LONG, TcpStream::connect(address)).await.expect("in time").expect("it is up");
+            echoed = said(&mut fresh, b"again").await;
+        }
+        assert_eq!(echoed.expect("an echo"), b"again");
+    }
+
+    #[tokio::test]
+    async fn a_process_that_ends_resets_and_refuses_until_it_is_back() {
+        let (address, _net, life) = echo().await;
+        let mut stream = TcpStream::connect(address).await.expect("it is up");
+        said(&mut stream, b"before").await.expect("an echo");
+        life.send_replace(Life { up: false, number: 1 });
+        assert!(timeout(LONG, stream.read(&mut [0; 1])).await.expect("an end").is_err(), "no reset");
+        while TcpStream::connect(address).await.is_ok() {}
+        life.send_replace(Life { up: true, number: 2 });
+        let mut back = loop {
+            match TcpStream::connect(address).await {
+                Ok(stream) => break stream,
+                Err(_) => sleep(PAUSE).await,
+            }
+        };
+        assert_eq!(said(&mut back, b"after").await.expect("an echo"), b"after");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/experiment/check.rs
@@ -0,0 +1,122 @@
+//! What an experiment's file may not ask for. Changes with the limits of the lab.
+
+use super::{Experiment, FaultKind};
+use linenproxy_common::config::{Configuration, Contradiction};
+
+const MOST_SIDECARS: usize = 10_000;
+const MOST_SERVERS: usize = 1000;
+/// Most requests of one play.
+const MOST_REQUESTS: f64 = 5e6;
+
+impl Configuration for Experiment {
+    fn check(&self) -> Result<(), Contradiction> {
+        let wrong = |key: &str, what: &str| Err(Contradiction::new(key, what));
+        let (t, l) = (&self.topology, &self.load);
+        let part = |x: f64| (0.0..=1.0).contains(&x);
+        if self.name.is_empty() || !self.name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-') {
+            return wrong("name", "letters, digits and hyphens, at least one");
+        }
+        if !(1..=MOST_SIDECARS).contains(&t.sidecars) {
+            return wrong("topology.sidecars", "1 to 10000");
+        }
+        if !(1..=MOST_SERVERS).contains(&t.servers) {
+            return wrong("topology.servers", "1 to 1000");
+        }
+        if !(1..=3).contains(&t.zones) || t.zones > t.servers {
+            return wrong("topology.zones", "1 to 3, and no more than servers");
+        }
+        if t.group == 0 || t.connections == 0 || !part(t.limited) {
+            return wrong("topology", "group and connections above 0, limited from 0 to 1");
+        }
+        if !(0.01..=1000.0).contains(&l.rate)
+            || l.rate * t.sidecars as f64 * l.lasts.0.as_secs_f64() > MOST_REQUESTS
+        {
+            return wrong("load.rate", "0.01 to 1000 a second, and no more than 5 million requests in all");
+        }
+        if !part(l.uneven) || !part(l.wander) || l.keys == 0 || !(0.01..=100.0).contains(&l.work) {
+            return wrong("load", "uneven and wander from 0 to 1, keys above 0, work from 0.01 to 100");
+        }
+        if l.warmup >= l.lasts {
+            return wrong("load.warmup", "it must end before load.lasts does");
+        }
+        if self.network.list_delay[0] > self.network.list_delay[1] {
+            return wrong("network.list_delay", "the least comes first");
+        }
+        for fault in &self.fault {
+            if fault.at >= l.lasts {
+                return wrong("fault", "at must lie before load.lasts");
+            }
+            if fault.zone.is_some_and(|z| z >= t.zones) || fault.part.is_some_and(|p| !part(p)) {
+                return wrong("fault", "zone must be one of topology.zones, part from 0 to 1");
+            }
+            let sized = matches!(
+                fault.kind,
+                FaultKind::ServersSlow
+                    | FaultKind::ServersFail
+                    | FaultKind::NetworkSlow
+                    | FaultKind::NetworkResets
+                    | FaultKind::SidecarsClock
+                    | FaultKind::DatagramsLost
+                    | FaultKind::DatagramsRepeated
+                    | FaultKind::DatagramsLate
+            );
+            if sized != fault.size.is_some() || fault.size.is_some_and(|s| !(0.0..=1e4).contains(&s)) {
+                return wrong(
+                    "fault",
+                    "size belongs to servers-slow, servers-fail, network-slow, network-resets, sidecars-clock and datagrams-*",
+                );
+            }
+            if (fault.kind == FaultKind::ZoneCut) != fault.way.is_some() {
+                return wrong("fault", "way belongs to zone-cut");
+            }
+        }
+        let mut names: Vec<&str> = self.variant.iter().map(|v| v.name.as_str()).collect();
+        if names.is_empty() || names.iter().any(|n| n.is_empty()) {
+            return wrong("variant", "at least one, each with a name");
+        }
+        for bound in &self.bounds.measure {
+            let known = |name: &Option<String>| name.as_deref().is_none_or(|n| names.contains(&n));
+            if !known(&bound.variant) || !known(&bound.against) {
+                return wrong("bounds.measure", "variant and against must name a variant");
+            }
+            if bound.least.is_none() && bound.most.is_none() {
+                return wrong("bounds.measure", "least or most is needed");
+            }
+        }
+        names.sort_unstable();
+        if names.windows(2).any(|two| two[0] == two[1]) {
+            return wrong("variant", "two have the same name");
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use linenproxy_common::config::parse;
+    use std::path::Path;
+
+    #[test]
+    fn bad_files_get_one_plain_line_with_the_place() {
+        let good = "name = \"a\"\n[[variant]]\nname = \"today\"\n";
+        let read = |text: &str| parse::<Experiment>(Path::new("a.toml"), text).map_err(|p| p.to_string());
+        assert_eq!(read(good).map(|e| e.variant.len()), Ok(1));
+        for (more, place) in [
+            ("[topology]\nzones = 9\n", "a.toml:5: topology.zones: "),
+            ("[topology]\nsidecrs = 9\n", "a.toml:5: topology.sidecrs: unknown field"),
+            ("[load]\nlasts = \"5 parsecs\"\n", "a.toml:5: load.lasts: "),
+            ("[load]\nwarmup = \"20s\"\n", "a.toml:5: load.warmup: "),
+            ("[[fault]]\nkind = \"servers-die\"\nat = \"99s\"\nlasts = \"1s\"\n", "a.toml:4: fault: "),
+            (
+                "[[fault]]\nkind = \"servers-vanish\"\nat = \"1s\"\nlasts = \"1s\"\n",
+                "a.toml:5: fault[0].kind: ",
+            ),
+            ("[[variant]]\nname = \"today\"\n", "a.toml:2: variant: two have the same name"),
+            ("[[bounds.measure]]\nmeasure = \"served\"\n", "a.toml:4: bounds.measure: "),
+        ] {
+            let said = read(&format!("{good}{more}")).expect_err(more);
+            assert!(said.starts_with(place) && !said.contains('\n'), "{said}");
+        }
+    }
+}
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -1,8 +1,9 @@
 //! The addresses at which members of a fleet reach each other: what is sent to one's front goes through the network and
 //! arrives from the sender's own front. Changes with how datagrams between members are carried.
 
+use crate::datagrams::{Datagrams, datagram};
 use crate::net::Net;
-use crate::relay::{Datagrams, Link, datagram};
+use crate::relay::Link;
 use linenproxy_fleet::section::FleetSection;
 use std::collections::HashMap;
 use std::io;
--- /dev/null
+++ b/crates/lab/src/listing.rs
@@ -0,0 +1,37 @@
+//! The list in the form in which discovery tells it. Changes with the form of a list (PROTOCOL, "Discovery").
+
+use crate::directory::State;
+use crate::plan::{Plan, ServerSpec};
+use crate::site::{KINDS, ZONES};
+use serde_json::{Value, json};
+
+/// Unix time in milliseconds at which the play began, and what an entry is called on the wire.
+pub fn entry(spec: &ServerSpec, state: State, address: std::net::SocketAddr, began_ms: u64) -> Value {
+    let (status, since) = match state {
+        State::Active { since } => ("active", since.map_or(0, |at| began_ms + at / 1000)),
+        State::Leaving => ("leaving", 0),
+        State::Left => ("left", 0),
+    };
+    json!({"name": spec.name, "address": address.to_string(), "zone": ZONES[spec.zone], "type": KINDS[spec.kind].name,
+        "group": spec.group, "status": status, "weight": weight(spec), "since_ms": since})
+}
+
+/// The size that the list gives a server: its kind's mean speed, as registered.
+pub fn weight(spec: &ServerSpec) -> f64 {
+    let kind = &KINDS[spec.kind];
+    (kind.speed.0 + kind.speed.1) / 2.0
+}
+
+/// A list in the form of the protocol page.
+pub fn list(
+    plan: &Plan,
+    entries: &[(usize, State)],
+    heard: usize,
+    whole: bool,
+    address: impl Fn(usize) -> std::net::SocketAddr,
+    began_ms: u64,
+) -> Value {
+    let entries: Vec<Value> =
+        entries.iter().map(|(i, state)| entry(&plan.servers[*i], *state, address(*i), began_ms)).collect();
+    json!({"index": heard + 1, "snapshot": whole, "endpoints": entries})
+}
--- a/crates/lab/src/live.rs
+++ b/crates/lab/src/live.rs
@@ -1,6 +1,6 @@
 //! What `up` shows: a table of what happens just now. Changes with what a newcomer wants to see.
 
-use crate::draw::Plan;
+use crate::plan::Plan;
 use crate::record::{Entry, Record, Seen, Try};
 use crate::site::{CLASSES, ZONES};
 use std::collections::HashMap;
--- /dev/null
+++ b/crates/lab/src/play/build.rs
@@ -0,0 +1,137 @@
+//! Brings up everything that a play needs. Changes with what stands in for what.
+
+use super::stage::{Sidecar, Stage};
+use super::{FLEET, Launch, PlayError, Tasks};
+use crate::agent::Agent;
+use crate::datagrams::Datagrams;
+use crate::experiment::{Experiment, FaultKind, Variant};
+use crate::fronts::Fronts;
+use crate::liar::lie;
+use crate::net::{Clock, Net};
+use crate::plan::{Mood, Plan};
+use crate::record::Record;
+use crate::servers::Servers;
+use crate::site;
+use crate::supervisor::{Supervised, Told};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::Arc;
+use tokio::sync::{Mutex, watch};
+
+/// Hosts of the loopback range that one play uses, by purpose: a port that the system picks there is met by nobody
+/// else's.
+fn host(purpose: u8, number: usize) -> IpAddr {
+    let process = std::process::id();
+    let low = (number % 250 + 1) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, 16 + purpose, (process % 250) as u8 + (number / 250) as u8 % 5, low))
+}
+
+/// A free address on a host of its own.
+fn free(host: IpAddr) -> io::Result<SocketAddr> {
+    TcpListener::bind((host, 0))?.local_addr()
+}
+
+/// Builds the stage; what runs on it ends with `tasks`.
+pub(super) async fn build(
+    experiment: &Experiment,
+    plan: &Arc<Plan>,
+    variant: &Variant,
+    launch: &Launch,
+    folder: &Path,
+    record: &Record,
+    tasks: &mut Tasks,
+) -> Result<Stage, PlayError> {
+    let io = |what: &str| {
+        let what = what.to_owned();
+        move |e| PlayError::Io(what, e)
+    };
+    let (clock, record) = (Clock::default(), record.clone());
+    let (net, mood) = (Net::new(&experiment.network), watch::channel(Mood::Well).0);
+    let servers =
+        Servers::new(Arc::clone(plan), clock.clone(), record.clone(), experiment.topology.connections);
+    let (datagrams, lies) = (watch::channel(Datagrams::default()).0, watch::channel(false).0);
+    let liar = experiment.fault.iter().find(|f| f.kind == FaultKind::MemberLies);
+    // Only who asks for a fleet has its sockets.
+    let fronts = match variant.config.contains(FLEET) {
+        true => {
+            let mut zones: Vec<usize> = plan.sidecars.iter().map(|spec| spec.zone).collect();
+            // The last one is nobody's but a liar's.
+            zones.push(liar.and_then(|fault| fault.zone).unwrap_or(0));
+            let hosts = |sidecar| (host(3, sidecar), host(4, sidecar));
+            let opened = Fronts::open(&zones, hosts, &net, &datagrams.subscribe()).await;
+            let (fronts, handles) = opened.map_err(io("no socket between sidecars"))?;
+            tasks.0.extend(handles);
+            if let Some(zone) = liar.map(|_| zones[plan.sidecars.len()]) {
+                let others = fronts.addresses[..plan.sidecars.len()].iter().map(|a| a.front).collect();
+                let servers = plan.servers.iter().map(|s| s.name.clone()).collect();
+                let section = fronts.member(plan.sidecars.len());
+                tasks.spawn(lie(section, site::ZONES[zone], servers, others, lies.subscribe()));
+            }
+            Some(fronts)
+        }
+        false => None,
+    };
+    let mut sidecars = Vec::new();
+    for (sidecar, spec) in plan.sidecars.iter().enumerate() {
+        let mut addresses = Vec::new();
+        for server in 0..plan.servers.len() {
+            let door = servers.door(host(0, server), &net, sidecar, server);
+            let (address, task) = door.map_err(io("no socket for a server"))?;
+            addresses.push(address);
+            tasks.0.push(task);
+        }
+        let agent = Agent::new(
+            Arc::clone(plan),
+            clock.clone(),
+            record.clone(),
+            sidecar,
+            Arc::new(addresses),
+            mood.subscribe(),
+        );
+        let (discovery, task) = agent.listen(host(1, sidecar)).map_err(io("no socket for an agent"))?;
+        tasks.0.push(task);
+        let listen = free(host(2, sidecar)).map_err(io("no address for a sidecar"))?;
+        let told = Told::new((sidecar, plan.sidecars.len()), spec.zone, listen, discovery, agent.known());
+        sidecars.push(match launch {
+            Launch::Program(bringing) => {
+                let mut bringing = bringing.clone();
+                bringing.program = variant.program.clone().unwrap_or(bringing.program);
+                let program = bringing.program.clone();
+                let mut variant = variant.clone();
+                if let Some(fronts) = &fronts {
+                    let section = fronts.section(sidecar, spec.clock_offset_ms);
+                    variant.config = variant.config.replace(FLEET, &section);
+                }
+                let seed = plan.seed.wrapping_add(sidecar as u64);
+                let both = (clock.clone(), record.clone());
+                let supervised = Supervised::new(told, bringing, &variant, folder, seed, both);
+                let mut supervised = supervised.map_err(io("cannot write a sidecar's files"))?;
+                let cannot = || format!("cannot start {}", program.display());
+                supervised.start().map_err(|e| PlayError::Io(cannot(), e))?;
+                Sidecar::Process(listen, Box::new(Mutex::new(supervised)))
+            }
+            Launch::Within(within) => {
+                tasks.spawn(within(told));
+                Sidecar::Task(listen)
+            }
+        });
+    }
+    for (number, sidecar) in sidecars.iter().enumerate() {
+        if let Sidecar::Process(_, process) = sidecar {
+            process.lock().await.ready().await.map_err(|what| PlayError::Start(number, what))?;
+        }
+    }
+    Ok(Stage {
+        clock,
+        record,
+        net,
+        servers,
+        mood,
+        datagrams,
+        lies,
+        fronts,
+        sidecars,
+        under_way: Mutex::default(),
+    })
+}
--- /dev/null
+++ b/crates/lab/src/play/stage.rs
@@ -0,0 +1,148 @@
+//! What is there while a play goes on, and what each step does to it. Changes with what a step does.
+
+use crate::datagrams::Datagrams;
+use crate::fronts::Fronts;
+use crate::net::{Clock, Net};
+use crate::plan::{Mood, Step};
+use crate::record::{Record, Seen};
+use crate::servers::Servers;
+use crate::supervisor::Supervised;
+use rustix::process::Signal;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Mutex, watch};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// A sidecar, by where it listens.
+pub(super) enum Sidecar {
+    Process(SocketAddr, Box<Mutex<Supervised>>),
+    Task(SocketAddr),
+}
+
+/// Where a play takes place.
+pub(super) struct Stage {
+    pub(super) clock: Clock,
+    pub(super) record: Record,
+    pub(super) net: Net,
+    pub(super) servers: Arc<Servers>,
+    pub(super) mood: watch::Sender<Mood>,
+    pub(super) datagrams: watch::Sender<Datagrams>,
+    pub(super) lies: watch::Sender<bool>,
+    pub(super) fronts: Option<Fronts>,
+    pub(super) sidecars: Vec<Sidecar>,
+    /// Faults that take their time, such as a stop.
+    pub(super) under_way: Mutex<JoinSet<()>>,
+}
+
+impl Sidecar {
+    pub(super) fn address(&self) -> SocketAddr {
+        match self {
+            Self::Process(address, _) | Self::Task(address) => *address,
+        }
+    }
+}
+
+/// How often the lab looks whether a sidecar has ended by itself.
+const WATCH: Duration = Duration::from_millis(50);
+
+impl Stage {
+    pub(super) async fn step(self: &Arc<Self>, step: Step) {
+        match step {
+            Step::ServerDown(server) => self.servers.stop(server),
+            Step::ServerUp(server) => self.servers.start(server),
+            Step::ServerSilent(server, on) => self.servers.silence(server, on),
+            Step::ServerSlow(server, times) => self.servers.with(|world, now, done| {
+                world.advance(now, done);
+                world.slow_down(server, times);
+            }),
+            Step::ServerFails(server, share) => self.servers.with(|world, _, _| world.fail(server, share)),
+            Step::Cut(zone, way, on) => self.net.cut(zone, way, on),
+            Step::Slow(more) => self.net.slow(more),
+            Step::Resets(share) => self.net.resets(share),
+            Step::Datagrams(kind, share) => self.datagrams.send_modify(|faults| faults.set(kind, share)),
+            Step::Lies(on) => drop(self.lies.send_replace(on)),
+            Step::Agents(mood) => drop(self.mood.send_replace(mood)),
+            Step::SidecarPause(sidecar, on) => {
+                if let Some(process) = self.process(sidecar) {
+                    process.lock().await.signal(if on { Signal::STOP } else { Signal::CONT });
+                }
+            }
+            Step::SidecarKill(sidecar) => {
+                if let Some(process) = self.process(sidecar) {
+                    process.lock().await.kill().await;
+                }
+            }
+            Step::SidecarStart(sidecar) => self.restart(sidecar, false).await,
+            Step::SidecarRestart(sidecar) => self.restart(sidecar, true).await,
+        }
+    }
+
+    /// Starts a sidecar, after a planned stop where it runs. Both take their time, and other steps do not wait.
+    async fn restart(self: &Arc<Self>, sidecar: usize, stop: bool) {
+        let this = Arc::clone(self);
+        self.under_way.lock().await.spawn(async move {
+            let Some(process) = this.process(sidecar) else { return };
+            let mut process = process.lock().await;
+            if stop {
+                process.stop().await;
+            }
+            this.start(sidecar, &mut process).await;
+        });
+    }
+
+    async fn start(&self, sidecar: usize, process: &mut Supervised) {
+        let started = match process.start() {
+            Ok(()) => process.ready().await,
+            Err(e) => Err(format!("cannot be started: {e}")),
+        };
+        if let Err(what) = started {
+            self.record.note(self.clock.now(), Seen::SidecarFault { sidecar, what });
+        }
+    }
+
+    pub(super) fn process(&self, sidecar: usize) -> Option<&Mutex<Supervised>> {
+        match &self.sidecars[sidecar] {
+            Sidecar::Process(_, process) => Some(process),
+            Sidecar::Task(_) => None,
+        }
+    }
+
+    /// Notes sidecars that end by themselves, and starts them anew, as a platform does. Runs for good.
+    pub(super) async fn watch_over(self: Arc<Self>) {
+        loop {
+            sleep(WATCH).await;
+            for sidecar in 0..self.sidecars.len() {
+                let Some(process) = self.process(sidecar) else { continue };
+                // Who is being stopped or started is being looked after.
+                let Ok(mut process) = process.try_lock() else { continue };
+                if let Some(status) = process.ended() {
+                    let what = format!("ended by itself: {status}; {}", process.last_line());
+                    let now = self.clock.now();
+                    self.record.note(now, Seen::SidecarDown { sidecar, killed: false });
+                    self.record.note(now, Seen::SidecarFault { sidecar, what });
+                    self.start(sidecar, &mut process).await;
+                }
+            }
+        }
+    }
+
+    /// Ends every sidecar: what is paused goes on first, and all are stopped at once.
+    pub(super) async fn end(self: &Arc<Self>) {
+        let mut under_way = std::mem::take(&mut *self.under_way.lock().await);
+        while under_way.join_next().await.is_some() {}
+        let mut ends = JoinSet::new();
+        for sidecar in 0..self.sidecars.len() {
+            let this = Arc::clone(self);
+            ends.spawn(async move {
+                if let Some(process) = this.process(sidecar) {
+                    let mut process = process.lock().await;
+                    process.signal(Signal::CONT);
+                    process.stop().await;
+                }
+            });
+        }
+        while ends.join_next().await.is_some() {}
+    }
+}
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -3,13 +3,14 @@
 //! network, in its simplest form.
 
 use crate::audit::audit;
-use crate::directory::{self, State};
-use crate::draw::{Plan, Step};
+use crate::datagrams::{Datagrams, HELD_UP};
+use crate::directory::State;
 use crate::experiment::{Experiment, Variant, Way};
 use crate::fronts::{Address, section};
+use crate::listing;
+use crate::plan::{Plan, Step};
 use crate::play::FLEET;
 use crate::record::{Entry, Seen, Try};
-use crate::relay::{Datagrams, HELD_UP};
 use crate::servers::{arrival_of, try_number};
 use crate::site::{self, CLASSES, CLIENT_RETRIES, Repeat};
 use crate::tally::{Beside, Tally, tally};
@@ -130,7 +131,7 @@
     let both = |sidecar| Address { own: address(sidecar), front: address(sidecar) };
     let addresses: Vec<Address> = (0..plan.sidecars.len()).map(both).collect();
     let name = Path::new(&variant.name);
-    let of = |(sidecar, spec): (usize, &crate::draw::SidecarSpec)| {
+    let of = |(sidecar, spec): (usize, &crate::plan::SidecarSpec)| {
         let text = variant.config.replace(FLEET, &section(&addresses, sidecar, spec.clock_offset_ms));
         Ok(config::parse::<Sections>(name, &text)?.fleet)
     };
@@ -508,7 +509,7 @@
                 cell: spec.group as u64,
                 kind: Some(spec.kind),
                 status,
-                size: directory::weight(spec),
+                size: listing::weight(spec),
                 started,
                 alias: *server as u64,
             }
--- a/crates/lab/src/supervisor.rs
+++ b/crates/lab/src/supervisor.rs
@@ -1,12 +1,15 @@
 //! Starts, stops, kills and restarts real sidecars, and keeps their logs. Changes with how a platform handles its
 //! processes (DEPLOY, PROTOCOL).
 
+mod bringing;
+mod told;
+
 use crate::experiment::Variant;
 use crate::net::Clock;
 use crate::record::{Record, Seen};
-use crate::site;
+pub use bringing::{Bringing, KEEP, keep};
 use linenproxy_common::process::usage_of;
-use rustix::process::{Pid, Signal, getppid, kill_process, set_parent_process_death_signal};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::fs::{self, File, OpenOptions};
 use std::io;
@@ -16,13 +19,10 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::time::{Instant, sleep, timeout};
+pub use told::Told;
 
-/// Descriptors and megabytes that a sidecar is told of: the middle of what the platform gives.
-const SOCKETS: usize = 640;
-/// See [`SOCKETS`].
-const MEMORY_MB: usize = 96;
 /// A sidecar that is not ready after this has failed to start, unless something else was said.
 pub const READY_WITHIN: Duration = Duration::from_secs(30);
 /// Pause between two looks at a sidecar that starts.
@@ -32,84 +32,6 @@
 /// How much a machine under load may be late with that, before it is held against the sidecar.
 const STOP_SLACK: Duration = Duration::from_millis(1000);
 
-/// What a sidecar is told at its start.
-#[derive(Clone, Debug)]
-pub struct Told {
-    /// Its number.
-    pub sidecar: usize,
-    /// Where it listens.
-    pub listen: SocketAddr,
-    /// Its agent.
-    pub discovery: SocketAddr,
-    /// The platform's configuration.
-    pub platform: serde_json::Value,
-}
-
-impl Told {
-    /// The platform's configuration for a sidecar of so many, in that zone.
-    pub fn new(
-        (sidecar, sidecars): (usize, usize),
-        zone: usize,
-        listen: SocketAddr,
-        discovery: SocketAddr,
-        known: serde_json::Value,
-    ) -> Self {
-        let platform = json!({
-            "name": format!("n{sidecar}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, "known": known,
-            "settings": site::settings(sidecars, sidecar, zone)});
-        Self { sidecar, listen, discovery, platform }
-    }
-}
-
-/// How a sidecar's process is brought up.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Bringing {
-    /// The program.
-    pub program: PathBuf,
-    /// A lab's program through which it is started, so that it ends with the lab however that ends; see [`keep`].
-    pub keeper: Option<PathBuf>,
-    /// It must be ready within this.
-    pub within: Duration,
-}
-
-impl Bringing {
-    /// Brings up that program, by itself and with the usual patience.
-    pub fn plain(program: PathBuf) -> Self {
-        Self { program, keeper: None, within: READY_WITHIN }
-    }
-
-    fn command(&self) -> Command {
-        match &self.keeper {
-            Some(keeper) => {
-                let mut command = Command::new(keeper);
-                command.arg(KEEP).arg(std::process::id().to_string()).arg(&self.program);
-                command
-            }
-            None => Command::new(&self.program),
-        }
-    }
-}
-
-/// The word that makes the lab's program a keeper.
-pub const KEEP: &str = "keep";
-
-/// Becomes `program`, in a process that the system kills when the lab, which must be process `parent`, has ended: a
-/// lab that is itself killed can end nothing any more.
-///
-/// # Errors
-/// The lab has ended already, or the program cannot be started. It does not come back otherwise.
-pub fn keep(parent: u32, program: &Path) -> io::Error {
-    if let Err(e) = set_parent_process_death_signal(Some(Signal::KILL)) {
-        return e.into();
-    }
-    // Where the lab ended before that was said, nobody will say so any more.
-    if getppid().map(Pid::as_raw_pid).and_then(|id| u32::try_from(id).ok()) != Some(parent) {
-        return io::Error::other("the lab has ended");
-    }
-    std::os::unix::process::CommandExt::exec(&mut std::process::Command::new(program))
-}
-
 /// One sidecar's process, over all its lives.
 pub struct Supervised {
     told: Told,
--- /dev/null
+++ b/crates/lab/src/supervisor/bringing.rs
@@ -0,0 +1,56 @@
+//! How a process is brought up so that it ends with the lab. Changes with what may outlive what.
+
+use super::READY_WITHIN;
+use rustix::process::{Pid, Signal, getppid, set_parent_process_death_signal};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::process::Command;
+
+/// How a sidecar's process is brought up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bringing {
+    /// The program.
+    pub program: PathBuf,
+    /// A lab's program through which it is started, so that it ends with the lab however that ends; see [`keep`].
+    pub keeper: Option<PathBuf>,
+    /// It must be ready within this.
+    pub within: Duration,
+}
+
+impl Bringing {
+    /// Brings up that program, by itself and with the usual patience.
+    pub fn plain(program: PathBuf) -> Self {
+        Self { program, keeper: None, within: READY_WITHIN }
+    }
+
+    pub(super) fn command(&self) -> Command {
+        match &self.keeper {
+            Some(keeper) => {
+                let mut command = Command::new(keeper);
+                command.arg(KEEP).arg(std::process::id().to_string()).arg(&self.program);
+                command
+            }
+            None => Command::new(&self.program),
+        }
+    }
+}
+
+/// The word that makes the lab's program a keeper.
+pub const KEEP: &str = "keep";
+
+/// Becomes `program`, in a process that the system kills when the lab, which must be process `parent`, has ended: a
+/// lab that is itself killed can end nothing any more.
+///
+/// # Errors
+/// The lab has ended already, or the program cannot be started. It does not come back otherwise.
+pub fn keep(parent: u32, program: &Path) -> io::Error {
+    if let Err(e) = set_parent_process_death_signal(Some(Signal::KILL)) {
+        return e.into();
+    }
+    // Where the lab ended before that was said, nobody will say so any more.
+    if getppid().map(Pid::as_raw_pid).and_then(|id| u32::try_from(id).ok()) != Some(parent) {
+        return io::Error::other("the lab has ended");
+    }
+    std::os::unix::process::CommandExt::exec(&mut std::process::Command::new(program))
+}
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -1,8 +1,8 @@
 //! Turns the record of one play into figures and curves. Changes with how a figure is counted.
 
 use crate::audit::Finding;
-use crate::draw::{Plan, Step};
 use crate::outcome::Measure;
+use crate::plan::{Plan, Step};
 use crate::record::{Entry, Seen, Try};
 use crate::site::CLASSES;
 use crate::supervisor::Spent;
