Part the fleet's member by concept and carry other crates' small pieces by rumour

New is a carrier: Core::carry spreads an opaque piece of up to 512 bytes of kinds 128 to 191 in the datagrams of news, evidence first; carry_to sends one to a single member; neighbours draws whom to ask. Each piece comes out once at each other member (an anti-replay window over each life's last 256 numbers), rates and queue are bounded, what is dropped is counted with its reason.

--- /dev/null
+++ b/crates/fleet/src/carrier.rs
@@ -0,0 +1,219 @@
+//! Small pieces of other crates' data that go from member to member: their form, who has had which, and what waits to be
+//! passed on. Changes with how such pieces are told apart and dropped.
+
+use crate::tokens::Tokens;
+use crate::{Micros, SECOND};
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+use std::ops::RangeInclusive;
+
+/// Kinds of pieces that are carried for others. Those below are the fleet's own, those above nobody's yet.
+pub const CARRIED: RangeInclusive<u8> = 128..=191;
+/// Longest body of such a piece, in bytes: two and evidence fit into a datagram.
+pub const LONGEST_BODY: usize = 512;
+/// From this age on a piece is neither taken nor passed on: by then whoever is reached has it (nine sends at ten a second),
+/// and from then on nobody need remember that it came.
+pub const BOUND: Micros = 5 * SECOND;
+/// Pieces that a member gives to be spread, a second and at once; as many to single members.
+const RATE: f64 = 20.0;
+const BURST: f64 = 40.0;
+/// Pieces that wait to be passed on. The one that was passed on most often makes room, of those the one longest here.
+const MOST: usize = 256;
+/// Numbers below an origin's highest that are told apart (an anti-replay window as in RFC 4303, section 3.4.3): more than
+/// a member gives in the bound, 140.
+const WINDOW: u64 = 256;
+/// Lives of members of which numbers are remembered: all of the largest fleet.
+const MOST_ORIGINS: usize = 10_240;
+
+/// A piece as it is written, behind its kind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Letter<'a> {
+    /// Hash of the name of who said it.
+    pub origin: u64,
+    /// Its life.
+    pub incarnation: u64,
+    /// Grows with each piece of that life, of whatever kind.
+    pub sequence: u64,
+    /// When it was said, by its clock.
+    pub said: Micros,
+    /// It is to be passed on, and not for this member alone.
+    pub spreads: bool,
+    /// What the kind makes of it.
+    pub body: &'a [u8],
+}
+
+/// Why a piece is not carried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotCarried {
+    /// Its kind is not in [`CARRIED`].
+    Kind,
+    /// It is longer than [`LONGEST_BODY`].
+    TooLong,
+    /// More than 20 a second, and 40 at once.
+    TooMany,
+    /// That member is not known to run.
+    Nobody,
+}
+
+impl fmt::Display for NotCarried {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Kind => "a kind that is not carried",
+            Self::TooLong => "too long to be carried",
+            Self::TooMany => "too many to be carried",
+            Self::Nobody => "to nobody who is known to run",
+        })
+    }
+}
+
+impl std::error::Error for NotCarried {}
+
+/// A piece that waits to be passed on.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Its kind.
+    pub kind: u8,
+    /// It as a [`Letter`].
+    pub letter: Vec<u8>,
+    /// How often it is still to be passed on.
+    pub left: u8,
+    said: Micros,
+}
+
+/// Which numbers of one life came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Had {
+    highest: u64,
+    /// A bit for each of the numbers from the highest downwards.
+    bits: [u64; (WINDOW / 64) as usize],
+    last: Micros,
+}
+
+impl Had {
+    fn bit(&mut self, number: u64) -> (&mut u64, u64) {
+        let place = number % WINDOW;
+        (&mut self.bits[(place / 64) as usize], 1 << (place % 64))
+    }
+
+    /// Whether that number comes for the first time.
+    fn is_new(&mut self, number: u64) -> bool {
+        if number > self.highest {
+            let skipped = (number - self.highest).min(WINDOW);
+            for n in number + 1 - skipped..=number {
+                let (word, bit) = self.bit(n);
+                *word &= !bit;
+            }
+            self.highest = number;
+        } else if self.highest - number >= WINDOW {
+            return false;
+        }
+        let (word, bit) = self.bit(number);
+        let new = *word & bit == 0;
+        *word |= bit;
+        new
+    }
+}
+
+/// What came of a piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    /// It is new here.
+    New,
+    /// It, or many later ones, came before.
+    Before,
+    /// No more origins are remembered.
+    Full,
+}
+
+/// All of them at one member.
+#[derive(Clone, Debug)]
+pub struct Carrier {
+    spread: Tokens,
+    direct: Tokens,
+    sequence: u64,
+    had: HashMap<(u64, u64), Had>,
+    forgets_at: Micros,
+    waiting: VecDeque<Waiting>,
+}
+
+impl Carrier {
+    /// Nothing yet.
+    pub fn new(now: Micros) -> Self {
+        Self {
+            spread: Tokens::new(now, BURST),
+            direct: Tokens::new(now, BURST),
+            sequence: 0,
+            had: HashMap::new(),
+            forgets_at: now,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// The number of the next piece of this member's own, where it may give one.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub fn next(&mut self, now: Micros, kind: u8, length: usize, spreads: bool) -> Result<u64, NotCarried> {
+        if !CARRIED.contains(&kind) {
+            return Err(NotCarried::Kind);
+        }
+        if length > LONGEST_BODY {
+            return Err(NotCarried::TooLong);
+        }
+        let tokens = if spreads { &mut self.spread } else { &mut self.direct };
+        if !tokens.take(now, RATE, BURST) {
+            return Err(NotCarried::TooMany);
+        }
+        self.sequence += 1;
+        Ok(self.sequence)
+    }
+
+    /// The highest number that this member gave.
+    pub fn given(&self) -> u64 {
+        self.sequence
+    }
+
+    /// A piece of another's came, within its bound.
+    pub fn came(&mut self, now: Micros, letter: &Letter<'_>) -> Came {
+        let life = (letter.origin, letter.incarnation);
+        if !self.had.contains_key(&life) && self.had.len() >= MOST_ORIGINS {
+            return Came::Full;
+        }
+        let had = self.had.entry(life).or_default();
+        had.last = now;
+        if had.is_new(letter.sequence) { Came::New } else { Came::Before }
+    }
+
+    /// Passes a piece on; false where another made room for it.
+    pub fn pass_on(&mut self, kind: u8, letter: Vec<u8>, said: Micros, sends: u8) -> bool {
+        let room = self.waiting.len() < MOST;
+        if !room {
+            let most_sent = self.waiting.iter().enumerate().min_by_key(|(i, w)| (w.left, *i)).map(|(i, _)| i);
+            most_sent.and_then(|i| self.waiting.remove(i));
+        }
+        self.waiting.push_back(Waiting { kind, letter, left: sends, said });
+        room
+    }
+
+    /// Forgets what is past its bound, by a clock that may be `skew` off from others.
+    pub fn expire(&mut self, now: Micros, skew: Micros) {
+        self.waiting.retain(|w| w.left > 0 && now - w.said < BOUND);
+        if now < self.forgets_at {
+            return;
+        }
+        self.forgets_at = now + BOUND;
+        self.had.retain(|_, had| now - had.last < BOUND + 2 * skew);
+    }
+
+    /// What waits, the least often passed on first.
+    pub fn waiting(&mut self) -> impl Iterator<Item = &mut Waiting> {
+        self.waiting.make_contiguous().sort_by_key(|w| std::cmp::Reverse(w.left));
+        self.waiting.iter_mut().filter(|w| w.left > 0)
+    }
+
+    /// Nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/core/inbound.rs
@@ -0,0 +1,49 @@
+//! Datagrams that come. Changes with which are listened to, and who takes in what is in them.
+
+use super::{Core, UNDER_WAY};
+use crate::Micros;
+use crate::carrier::CARRIED;
+use crate::evidence::Datum;
+use crate::frame::{self, ASK, Content, Dropped, EVIDENCE, Piece};
+use std::net::SocketAddr;
+
+impl Core {
+    /// A datagram came from there.
+    pub fn datagram(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) {
+        self.counts.received += 1;
+        let known = self.networks.iter().any(|net| net.contains(&from.ip())) || self.seeds.contains(&from);
+        if !known {
+            return self.drop_one(Dropped::Unknown);
+        }
+        let (head, content) = match frame::read(bytes, &self.cluster) {
+            Ok(read) => read,
+            Err(why) => return self.drop_one(why),
+        };
+        match head.content {
+            Content::Membership => self.membership(now, from, content),
+            Content::News => {
+                let late = now.saturating_sub(head.sent);
+                if late < -self.skew || late > self.skew + UNDER_WAY {
+                    return self.drop_one(Dropped::Clock);
+                }
+                if !self.members.contains_key(&from) {
+                    return self.drop_one(Dropped::Unknown);
+                }
+                for piece in frame::pieces(content) {
+                    match piece {
+                        Ok(Piece { kind: EVIDENCE, bytes }) => match postcard::from_bytes::<Datum>(bytes) {
+                            Ok(datum) => self.heard(now, datum),
+                            Err(_) => self.drop_one(Dropped::Malformed),
+                        },
+                        Ok(Piece { kind: ASK, .. }) => self.answer(now, from),
+                        Ok(Piece { kind, bytes }) if CARRIED.contains(&kind) => {
+                            self.carried(now, from, kind, bytes);
+                        }
+                        Ok(_) => self.drop_one(Dropped::Kind),
+                        Err(why) => self.drop_one(why),
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/core/news.rs
@@ -0,0 +1,78 @@
+//! News that spread by rumour. Changes with how they spread.
+//!
+//! What is new to a member it passes on to a few members drawn at random, a fixed number of times (Demers et al.,
+//! "Epidemic algorithms for replicated database maintenance", PODC 1987, section 1.4). So a member sends no more in a
+//! large fleet than in a small one.
+
+use super::{Core, FANOUT, TICK};
+use crate::Micros;
+use crate::evidence::Datum;
+use crate::frame::{self, Content, Dropped, EVIDENCE, Head, Piece};
+use rand::RngExt;
+use std::cmp::Reverse;
+
+/// How often a piece of news is passed on in all: of those who hear of it one in 400 is missed by nine draws without loss,
+/// one in 500 with three draws in ten lost and repeats by others (e to the minus nine or six).
+pub(super) const SENDS: u8 = 9;
+/// News that wait to be passed on; the oldest make room.
+const MOST_NEWS: usize = 512;
+
+/// Evidence, and how often it is still to be passed on.
+pub(super) struct News {
+    pub(super) datum: Datum,
+    pub(super) left: u8,
+}
+
+impl Core {
+    pub(super) fn pass_on(&mut self, now: Micros, datum: Datum) {
+        self.news.retain(|n| {
+            (n.datum.origin, n.datum.process, n.datum.zone) != (datum.origin, datum.process, datum.zone)
+        });
+        if self.news.len() >= MOST_NEWS {
+            self.news.pop_front();
+            self.drop_one(Dropped::Full);
+        }
+        self.news.push_back(News { datum, left: SENDS });
+        self.wake(now);
+    }
+
+    /// There is something to do: the next beat comes soon.
+    pub(super) fn wake(&mut self, now: Micros) {
+        self.next_tick = self.next_tick.min(now + TICK);
+    }
+
+    /// Passes on news: the ones that left least often come first.
+    pub(super) fn gossip(&mut self, now: Micros) {
+        self.news.retain(|n| n.left > 0 && now - n.datum.seen < self.weights.bound);
+        self.carrier.expire(now, self.skew);
+        if (self.news.is_empty() && self.carrier.is_empty()) || self.drawn.is_empty() {
+            return;
+        }
+        for _ in 0..FANOUT.min(self.drawn.len()) {
+            let to = self.drawn[self.rng.random_range(0..self.drawn.len())];
+            self.news.make_contiguous().sort_by_key(|n| Reverse(n.left));
+            let head = Head { cluster: &self.cluster, sent: now, content: Content::News };
+            let mut bytes = frame::begin(&head);
+            let mut any = false;
+            for news in self.news.iter_mut().filter(|n| n.left > 0) {
+                let Ok(datum) = postcard::to_stdvec(&news.datum) else { continue };
+                if !frame::add(&mut bytes, &Piece { kind: EVIDENCE, bytes: &datum }) {
+                    break;
+                }
+                news.left -= 1;
+                any = true;
+            }
+            for waiting in self.carrier.waiting() {
+                let piece = Piece { kind: waiting.kind, bytes: &waiting.letter };
+                // A shorter one may still fit.
+                if frame::add(&mut bytes, &piece) {
+                    waiting.left -= 1;
+                    any = true;
+                }
+            }
+            if any {
+                self.send(to, bytes);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/effects.rs
@@ -0,0 +1,81 @@
+//! What goes into a member and comes out of it. Changes with what the decision module and the host are told.
+
+use crate::Micros;
+use crate::frame::REASONS;
+use crate::verdict::Rest;
+use serde::Serialize;
+use std::net::SocketAddr;
+
+/// An endpoint of the own list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Its number at this member.
+    pub endpoint: usize,
+    /// Its name.
+    pub name: String,
+    /// When its process started, where that is not long ago.
+    pub started: Option<Micros>,
+    /// It takes requests.
+    pub ready: bool,
+}
+
+/// What the decision module is told of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// Its number.
+    pub endpoint: usize,
+    /// What others' word makes of it.
+    pub rest: Rest,
+    /// From then on it counts as never heard.
+    pub until: Micros,
+}
+
+/// A piece of other crates' data that a member has spread, or sent to this one alone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Carried {
+    /// Hash of the name of who said it.
+    pub origin: u64,
+    /// Its life.
+    pub incarnation: u64,
+    /// What it is, in the range [`crate::carrier::CARRIED`].
+    pub kind: u8,
+    /// Its own form.
+    pub bytes: Vec<u8>,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, Default)]
+pub struct Effects {
+    /// Datagrams, and where they go.
+    pub datagrams: Vec<(SocketAddr, Vec<u8>)>,
+    /// What is new for the decision module.
+    pub words: Vec<Word>,
+    /// What others carried here for the host.
+    pub carried: Vec<Carried>,
+}
+
+/// What it has done so far.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Counts {
+    /// Datagrams sent, and their bytes.
+    pub sent: u64,
+    /// See `sent`.
+    pub sent_bytes: u64,
+    /// Datagrams that came.
+    pub received: u64,
+    /// Evidence given by this member.
+    pub said: u64,
+    /// Evidence of others that was new.
+    pub heard: u64,
+    /// Pieces of others' data that this member gave to be carried, and that came.
+    pub carried: u64,
+    /// See `carried`.
+    pub handed_out: u64,
+    /// Trials that fell to this member.
+    pub trials: u64,
+    /// Verdicts that sent an endpoint to rest.
+    pub rests: u64,
+    /// What was dropped, by reason, in the order of [`REASONS`]; the census names them.
+    #[serde(skip)]
+    pub dropped: [u64; REASONS.len()],
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,17 +4,24 @@
 //! - [`member`]: who a member is.
 //! - [`frame`]: datagrams, and why one is dropped.
 //! - [`evidence`]: what members saw of endpoints, merged in any order to the same table.
-//! - [`verdict`]: what follows from it for one member: who rests, who may be tried, by whom.
+//! - [`verdict`]: what follows from it for one member: who rests. [`trial`]: who of those may be tried, when, by whom.
+//! - [`carrier`]: small pieces of other crates' data, spread the same way.
+//! - [`effects`]: what goes in and comes out of it. [`census`]: what people read. [`tokens`]: a rate.
 //! - [`core`]: all of it as one state machine without I/O and clock.
 //! - [`udp`]: its sockets and timers.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod carrier;
+pub mod census;
 pub mod core;
+pub mod effects;
 pub mod evidence;
 pub mod frame;
 pub mod member;
 pub mod section;
+pub mod tokens;
+pub mod trial;
 pub mod udp;
 pub mod verdict;
 
--- a/crates/fleet/src/udp.rs
+++ b/crates/fleet/src/udp.rs
@@ -1,7 +1,8 @@
 //! A member on a socket: datagrams, timers, and a way to talk to it from other tasks of the same thread. Changes with
 //! how it is carried.
 
-use crate::core::{Census, Core, Listed, Word};
+use crate::carrier::NotCarried;
+use crate::core::{Carried, Census, Core, Listed, Word};
 use crate::evidence::Sign;
 use crate::frame::LONGEST;
 use crate::section::FleetSection;
@@ -24,6 +25,9 @@
 /// Who is told of words.
 pub type Told = Rc<dyn Fn(Vec<Word>)>;
 
+/// Who is told of what was carried here.
+pub type Carries = Rc<dyn Fn(Vec<Carried>)>;
+
 /// A member that runs.
 #[derive(Clone)]
 pub struct Fleet {
@@ -32,6 +36,7 @@
     clock: Clock,
     offset: Micros,
     told: Told,
+    carries: Rc<RefCell<Option<Carries>>>,
     /// When it wakes up next, and what wakes it up before.
     wakes: Rc<Cell<Micros>>,
     wake: Rc<Notify>,
@@ -61,6 +66,7 @@
             clock,
             offset,
             told,
+            carries: Rc::default(),
             wakes: Rc::new(Cell::new(Micros::MIN)),
             wake: Rc::default(),
         })
@@ -85,9 +91,41 @@
             effects.words.iter_mut().for_each(|word| word.until -= self.offset);
             (self.told)(effects.words);
         }
+        if !effects.carried.is_empty() {
+            let carries = self.carries.borrow().clone();
+            if let Some(carries) = carries {
+                carries(effects.carried);
+            }
+        }
         result
     }
 
+    /// From now on that one is told of what is carried here; until then it is dropped.
+    pub fn on_carried(&self, carries: Carries) {
+        *self.carries.borrow_mut() = Some(carries);
+    }
+
+    /// Spreads a piece to all members; see [`Core::carry`].
+    ///
+    /// # Errors
+    /// Why it is not.
+    pub fn carry(&self, kind: u8, bytes: &[u8]) -> Result<(), NotCarried> {
+        self.with(|core, now| core.carry(now, kind, bytes))
+    }
+
+    /// Sends a piece to one member; see [`Core::carry_to`].
+    ///
+    /// # Errors
+    /// Why it is not.
+    pub fn carry_to(&self, to: u64, kind: u8, bytes: &[u8]) -> Result<(), NotCarried> {
+        self.with(|core, now| core.carry_to(now, to, kind, bytes))
+    }
+
+    /// Members drawn at random; see [`Core::neighbours`].
+    pub fn neighbours(&self, most: usize) -> Vec<u64> {
+        self.with(|core, _| core.neighbours(most))
+    }
+
     /// The list has changed.
     pub fn listed(&self, list: Vec<Listed>) {
         self.with(|core, now| core.listed(now, list));
--- /dev/null
+++ b/crates/fleet/tests/lan/mod.rs
@@ -0,0 +1,183 @@
+//! Fleets of members over a simulated network: no socket, no clock, the same for the same seed. Changes with what such a
+//! network can do to datagrams and members.
+#![allow(dead_code, reason = "each file of tests uses its part")]
+
+use linenproxy_fleet::core::{Carried, Core, Listed, Word};
+use linenproxy_fleet::evidence::{Datum, Process, Sign};
+use linenproxy_fleet::frame::{self, Content, Dropped, EVIDENCE, Head, Piece};
+use linenproxy_fleet::section::FleetSection;
+use linenproxy_fleet::verdict::Rest;
+use linenproxy_fleet::{Micros, SECOND, hash};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddr};
+
+pub const EPOCH: Micros = 1_000_000 * SECOND;
+pub const ENDPOINTS: usize = 10;
+/// No member.
+pub const NOBODY: [usize; 0] = [];
+
+/// A datagram under way: when it comes, its number, to whom, from where.
+type Mail = Reverse<(Micros, u64, usize, SocketAddr, Vec<u8>)>;
+
+/// Members on a network, in three zones by turns.
+pub struct Lan {
+    pub cores: Vec<Option<Core>>,
+    pub offsets: Vec<Micros>,
+    /// Stopped until then.
+    pub stopped: Vec<Micros>,
+    pub words: Vec<BTreeMap<usize, Word>>,
+    /// What came out of carried pieces at each.
+    pub carried: Vec<Vec<Carried>>,
+    pub now: Micros,
+    pub mail: BinaryHeap<Mail>,
+    pub number: u64,
+    pub rng: SmallRng,
+    pub lost: f64,
+    pub repeated: f64,
+    pub late: Micros,
+    /// From that zone nothing gets into that one.
+    pub cuts: Vec<(usize, usize)>,
+}
+
+pub fn address(member: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, 0, (member / 250) as u8, (member % 250 + 1) as u8), 7946))
+}
+
+pub fn section(member: usize, members: usize) -> FleetSection {
+    let seeds = (0..members.min(4)).filter(|seed| *seed != member).map(address).collect();
+    FleetSection { enabled: true, listen: address(member), seeds, ..FleetSection::default() }
+}
+
+pub fn listed(endpoint: usize) -> Listed {
+    Listed { endpoint, name: format!("s-{endpoint}"), started: None, ready: true }
+}
+
+impl Lan {
+    pub fn new(members: usize, seed: u64) -> Self {
+        let mut lan = Self {
+            cores: (0..members).map(|_| None).collect(),
+            offsets: vec![0; members],
+            stopped: vec![Micros::MIN; members],
+            words: vec![BTreeMap::new(); members],
+            carried: vec![Vec::new(); members],
+            now: EPOCH,
+            mail: BinaryHeap::new(),
+            number: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            lost: 0.0,
+            repeated: 0.0,
+            late: 0,
+            cuts: Vec::new(),
+        };
+        (0..members).for_each(|member| lan.start(member));
+        lan
+    }
+
+    /// Starts a member, again if it runs.
+    pub fn start(&mut self, member: usize) {
+        let (now, seed) = (self.now + self.offsets[member], self.rng.random());
+        let zone = ["a", "b", "c"][member % 3];
+        let section = section(member, self.cores.len());
+        let mut core = Core::new(&section, &format!("n{member}"), zone, now.unsigned_abs(), seed, now);
+        core.listed(now, (0..ENDPOINTS).map(listed).collect());
+        self.cores[member] = Some(core);
+        self.words[member].clear();
+    }
+
+    pub fn with<T>(&mut self, member: usize, what: impl FnOnce(&mut Core, Micros) -> T) -> Option<T> {
+        let now = self.now + self.offsets[member];
+        let core = self.cores[member].as_mut()?;
+        let result = what(core, now);
+        let effects = core.effects();
+        for (to, bytes) in effects.datagrams {
+            self.post(address(member), to, bytes);
+        }
+        self.carried[member].extend(effects.carried);
+        for word in effects.words {
+            match word.rest {
+                Rest::Yes | Rest::Trial => drop(self.words[member].insert(word.endpoint, word)),
+                Rest::No | Rest::Over => drop(self.words[member].remove(&word.endpoint)),
+            }
+        }
+        Some(result)
+    }
+
+    pub fn post(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+        let member = |at: SocketAddr| (0..self.cores.len()).find(|m| address(*m) == at);
+        let (Some(source), Some(to)) = (member(from), member(to)) else { return };
+        if self.cuts.contains(&(source % 3, to % 3)) || self.rng.random_bool(self.lost) {
+            return;
+        }
+        for _ in 0..if self.rng.random_bool(self.repeated) { 2 } else { 1 } {
+            self.number += 1;
+            let at = self.now + self.rng.random_range(200..=2000 + self.late);
+            self.mail.push(Reverse((at, self.number, to, from, bytes.clone())));
+        }
+    }
+
+    /// Time passes.
+    pub fn run(&mut self, time: Micros) {
+        let until = self.now + time;
+        loop {
+            let tick = (0..self.cores.len()).filter_map(|m| {
+                let core = self.cores[m].as_ref()?;
+                Some(((core.next() - self.offsets[m]).max(self.stopped[m]), m))
+            });
+            let tick = tick.min();
+            let mail = self.mail.peek().map(|Reverse((at, ..))| *at);
+            let next = [tick.map(|t| t.0), mail].into_iter().flatten().min().filter(|at| *at < until);
+            let Some(next) = next else { break };
+            self.now = self.now.max(next);
+            if mail.is_some_and(|at| at <= self.now) {
+                if let Some(Reverse((_, number, to, from, bytes))) = self.mail.pop() {
+                    match self.stopped[to] {
+                        till if till > self.now => self.mail.push(Reverse((till, number, to, from, bytes))),
+                        _ => drop(self.with(to, |core, now| core.datagram(now, from, &bytes))),
+                    }
+                }
+            } else if let Some((_, member)) = tick {
+                self.with(member, Core::tick);
+            }
+        }
+        self.now = until;
+    }
+
+    pub fn sees(&mut self, members: impl IntoIterator<Item = usize>, endpoint: usize, sign: Sign) {
+        for member in members {
+            self.with(member, |core, now| core.witness(now, endpoint, sign));
+        }
+    }
+
+    /// Members that let an endpoint rest.
+    pub fn resting(&self, endpoint: usize) -> Vec<usize> {
+        let rests =
+            |m: &usize| self.words[*m].get(&endpoint).is_some_and(|w| w.until > self.now + self.offsets[*m]);
+        (0..self.cores.len()).filter(rests).collect()
+    }
+
+    pub fn dropped(&self, member: usize, why: Dropped) -> u64 {
+        self.cores[member].as_ref().map_or(0, |core| core.counts().dropped[why as usize])
+    }
+
+    pub fn known(&self) -> Vec<usize> {
+        self.cores.iter().flatten().map(Core::members).collect()
+    }
+
+    /// Evidence in another's name, or in the own one.
+    pub fn forge(&mut self, by: usize, origin: usize, endpoint: usize, sequence: u64) {
+        let incarnation = u64::MAX / 2;
+        let process = Process { name: hash(&format!("s-{endpoint}")), started: 0 };
+        let zone = hash(["a", "b", "c"][origin % 3]);
+        let origin = hash(&format!("n{origin}"));
+        let datum = Datum { origin, incarnation, sequence, zone, seen: self.now, process, sign: Sign::Sick };
+        let bytes = postcard::to_stdvec(&datum).expect("it can be written");
+        let mut frame = frame::begin(&Head { cluster: "linenproxy", sent: self.now, content: Content::News });
+        assert!(frame::add(&mut frame, &Piece { kind: EVIDENCE, bytes: &bytes }));
+        for to in 0..self.cores.len() {
+            self.post(address(by), address(to), frame.clone());
+        }
+    }
+}
