Keep checked records on disk, and numbers that are never given twice

Need: agreement, incarnations and tokens must survive a crash, and nothing that a disk has bent may be believed (rules of durable state).

crates/store keeps records in one redb file. Each carries format, owner and an XXH3 checksum over itself and its place; pages and records are all checked at opening. What fails is renamed to FILE.aside-N as it is, and a new store begins. Numbers are reserved on disk in ranges before one is given. A disk in memory loses and tears unsynced sectors, fills up and flips bits, for tests of this crate and of what is built on it.

--- /dev/null
+++ b/crates/store/src/disk.rs
@@ -0,0 +1,136 @@
+//! A disk in memory that fails as disks do, for tests of what is built on stores. Changes with the faults it knows.
+//!
+//! What is written is in the cache; a sync makes it durable. A crash keeps, of what was not synced, any part in
+//! units of a sector, in any order: lost, whole or torn.
+
+use std::io::{Error, ErrorKind};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What a disk writes whole or not at all, in bytes.
+pub const SECTOR: usize = 512;
+
+#[derive(Debug, Default)]
+struct Inner {
+    durable: Vec<u8>,
+    cache: Vec<u8>,
+    /// Writes to go until the disk takes no more; none counts while it is `None`.
+    budget: Option<u64>,
+    writes: u64,
+}
+
+/// A handle to the disk; clones are the same disk.
+#[derive(Clone, Debug, Default)]
+pub struct Disk(Arc<Mutex<Inner>>);
+
+impl Disk {
+    /// An empty disk.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Power off and on: `keep` is asked for every sector that was not synced, whether it got to the disk. The file's
+    /// length is that of the cache or the old one, as `keep` says too. A new disk with what is left comes back, so
+    /// that whoever still holds the old handle can change nothing; that one takes no more writes.
+    #[must_use]
+    pub fn crash(&self, mut keep: impl FnMut() -> bool) -> Self {
+        let mut inner = self.inner();
+        let length = if keep() { inner.cache.len() } else { inner.durable.len() };
+        let mut left = inner.durable.clone();
+        left.resize(length, 0);
+        for at in (0..length.min(inner.cache.len())).step_by(SECTOR) {
+            let end = (at + SECTOR).min(length).min(inner.cache.len());
+            if left[at..end] != inner.cache[at..end] && keep() {
+                left[at..end].copy_from_slice(&inner.cache[at..end]);
+            }
+        }
+        inner.budget = Some(0);
+        let after = Inner { cache: left.clone(), durable: left, budget: None, writes: 0 };
+        Self(Arc::new(Mutex::new(after)))
+    }
+
+    /// Takes `writes` more writes and syncs, then none: a full or broken disk.
+    pub fn fail_after(&self, writes: u64) {
+        self.inner().budget = Some(writes);
+    }
+
+    /// Flips a bit, in cache and on the disk; the bit is taken modulo the length.
+    pub fn flip(&self, bit: u64) {
+        let mut inner = self.inner();
+        let bits = inner.cache.len() as u64 * 8;
+        if let Some(bit) = bit.checked_rem(bits) {
+            let (at, mask) = (usize::try_from(bit / 8).unwrap_or(0), 1 << (bit % 8));
+            inner.cache[at] ^= mask;
+            if let Some(byte) = inner.durable.get_mut(at) {
+                *byte ^= mask;
+            }
+        }
+    }
+
+    /// Bytes that would be there after a sync.
+    #[must_use]
+    pub fn length(&self) -> u64 {
+        self.inner().cache.len() as u64
+    }
+
+    /// Writes and syncs that were taken.
+    #[must_use]
+    pub fn writes(&self) -> u64 {
+        self.inner().writes
+    }
+
+    fn write_allowed(inner: &mut Inner) -> Result<(), Error> {
+        if let Some(budget) = &mut inner.budget {
+            *budget = budget.checked_sub(1).ok_or_else(|| Error::from(ErrorKind::StorageFull))?;
+        }
+        inner.writes += 1;
+        Ok(())
+    }
+}
+
+fn place(offset: u64, length: usize) -> Result<std::ops::Range<usize>, Error> {
+    let start = usize::try_from(offset).map_err(|_| Error::from(ErrorKind::InvalidInput))?;
+    Ok(start..start.checked_add(length).ok_or_else(|| Error::from(ErrorKind::InvalidInput))?)
+}
+
+impl redb::StorageBackend for Disk {
+    fn len(&self) -> Result<u64, Error> {
+        Ok(self.length())
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), Error> {
+        let inner = self.inner();
+        let range = place(offset, out.len())?;
+        let found = inner.cache.get(range).ok_or_else(|| Error::from(ErrorKind::UnexpectedEof))?;
+        out.copy_from_slice(found);
+        Ok(())
+    }
+
+    fn set_len(&self, len: u64) -> Result<(), Error> {
+        let mut inner = self.inner();
+        Self::write_allowed(&mut inner)?;
+        let length = place(len, 0)?.start;
+        inner.cache.resize(length, 0);
+        Ok(())
+    }
+
+    fn sync_data(&self) -> Result<(), Error> {
+        let mut inner = self.inner();
+        Self::write_allowed(&mut inner)?;
+        inner.durable = inner.cache.clone();
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), Error> {
+        let mut inner = self.inner();
+        Self::write_allowed(&mut inner)?;
+        let range = place(offset, data.len())?;
+        let target = inner.cache.get_mut(range).ok_or_else(|| Error::from(ErrorKind::UnexpectedEof))?;
+        target.copy_from_slice(data);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,19 @@
+//! What is kept on disk: checked records in rooms, committed together, and numbers that are never reused. Changes
+//! with what callers may keep; form, recovery and set-aside have files of their own.
+//!
+//! Every record carries a format version, its owner's name and a checksum over all of it and its place. All are
+//! checked when a store is opened: a store of which one record fails is set aside whole under another name, never
+//! deleted and never half used.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod disk;
+mod file;
+mod numbers;
+mod record;
+mod store;
+
+pub use file::{Aside, Opened, open};
+pub use numbers::Numbers;
+pub use record::{Broken, FORMAT, LONGEST_OWNER};
+pub use store::{Change, Refusal, Store, Trouble};
--- /dev/null
+++ b/crates/store/src/record.rs
@@ -0,0 +1,117 @@
+//! The form of one record and the checks on it. Changes with the format on disk, and then with its version.
+
+use std::fmt;
+use xxhash_rust::xxh3::Xxh3;
+
+/// The version of the format that is written. Older ones that can be read will be read beside it; newer ones are
+/// refused, as nobody knows what they mean.
+pub const FORMAT: u16 = 1;
+/// Longest name of an owner, in bytes: its length is one byte of the record.
+pub const LONGEST_OWNER: usize = 255;
+/// First bytes of every record, so that other data is told from a record of ours.
+const MARK: [u8; 2] = *b"lp";
+/// Mark, format, length of the owner's name, checksum.
+const HEAD: usize = 2 + 2 + 1 + 8;
+
+/// Why a record is not believed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// It is not a record, or its end is missing.
+    Form,
+    /// Its format is not one that this program reads.
+    Format(u16),
+    /// It belongs to somebody else.
+    Owner(String),
+    /// Its bytes or its place are not those that were written.
+    Checksum,
+    /// The file under the records does not hold together.
+    File(String),
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Form => f.write_str("it has no record's form"),
+            Self::Format(found) => write!(f, "its format is {found}, this program reads up to {FORMAT}"),
+            Self::Owner(found) => write!(f, "its owner is {found:?}"),
+            Self::Checksum => f.write_str("its checksum does not match"),
+            Self::File(what) => write!(f, "the file does not hold together: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for Broken {}
+
+fn checksum(format: u16, owner: &[u8], room: &str, number: u64, payload: &[u8]) -> u64 {
+    let mut sum = Xxh3::new();
+    // Lengths go in too: no byte can move from one part to the next unseen.
+    for part in [&format.to_le_bytes()[..], owner, room.as_bytes(), &number.to_le_bytes(), payload] {
+        sum.update(&(part.len() as u64).to_le_bytes());
+        sum.update(part);
+    }
+    sum.digest()
+}
+
+/// The record of `payload` at its place. The owner's name is at most [`LONGEST_OWNER`] bytes, which
+/// [`crate::Store`] has seen to.
+pub(crate) fn seal(owner: &str, room: &str, number: u64, payload: &[u8]) -> Vec<u8> {
+    let owner = owner.as_bytes();
+    let mut record = Vec::with_capacity(HEAD + owner.len() + payload.len());
+    record.extend(MARK);
+    record.extend(FORMAT.to_le_bytes());
+    record.push(u8::try_from(owner.len()).unwrap_or(u8::MAX));
+    record.extend(checksum(FORMAT, owner, room, number, payload).to_le_bytes());
+    record.extend(owner);
+    record.extend(payload);
+    record
+}
+
+/// The payload of the record at its place.
+pub(crate) fn open<'r>(owner: &str, room: &str, number: u64, record: &'r [u8]) -> Result<&'r [u8], Broken> {
+    let (head, rest) = record.split_at_checked(HEAD).ok_or(Broken::Form)?;
+    if head[..2] != MARK {
+        return Err(Broken::Form);
+    }
+    let format = u16::from_le_bytes([head[2], head[3]]);
+    if format != FORMAT {
+        return Err(Broken::Format(format));
+    }
+    let (name, payload) = rest.split_at_checked(usize::from(head[4])).ok_or(Broken::Form)?;
+    let sum = head[5..].try_into().map(u64::from_le_bytes).map_err(|_| Broken::Form)?;
+    if sum != checksum(format, name, room, number, payload) {
+        return Err(Broken::Checksum);
+    }
+    if name != owner.as_bytes() {
+        return Err(Broken::Owner(String::from_utf8_lossy(name).into_owned()));
+    }
+    Ok(payload)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_record_with_any_bit_flipped_cut_short_or_moved_is_not_believed() {
+        let record = seal("a", "log", 7, b"posted");
+        assert_eq!(open("a", "log", 7, &record), Ok(&b"posted"[..]));
+        for bit in 0..record.len() * 8 {
+            let mut flipped = record.clone();
+            flipped[bit / 8] ^= 1 << (bit % 8);
+            assert!(open("a", "log", 7, &flipped).is_err(), "bit {bit}");
+        }
+        for length in 0..record.len() {
+            assert!(open("a", "log", 7, &record[..length]).is_err(), "{length} bytes");
+        }
+        assert_eq!(open("a", "log", 8, &record), Err(Broken::Checksum));
+        assert_eq!(open("a", "hard", 7, &record), Err(Broken::Checksum));
+        assert_eq!(open("b", "log", 7, &record), Err(Broken::Owner("a".to_owned())));
+    }
+
+    #[test]
+    fn a_newer_format_is_named() {
+        let mut record = seal("a", "log", 7, b"posted");
+        record[2] = 2;
+        assert_eq!(open("a", "log", 7, &record), Err(Broken::Format(2)));
+    }
+}
