--- /dev/null
+++ b/crates/maintenance/tests/play/mod.rs
@@ -0,0 +1,156 @@
+//! Changes with what is audited in a history, apart from the machine's own counting.
+#![allow(dead_code)]
+
+mod moves;
+
+use linenproxy_maintenance::{Act, Agreement, Event, Machine, Outcome, State};
+
+use crate::world::{World, agreement};
+
+/// Delayed words between the leader, the thing acted on, and back.
+#[derive(Clone)]
+pub enum Wire {
+    Act(Act),
+    Event(Event),
+}
+
+/// How far leaders' clocks are apart, in milliseconds: evidence may be older by that than it seems.
+pub const SKEW_MS: i64 = 300;
+
+pub struct Play {
+    pub rng: fastrand::Rng,
+    pub world: World,
+    pub agreement: Agreement,
+    pub machine: Machine,
+    /// Leaders of before that may still act, with what they knew.
+    pub old: Vec<Machine>,
+    pub wires: Vec<(i64, Wire)>,
+    pub asked: u64,
+    pub figures: Figures,
+}
+
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Figures {
+    pub booked: u64,
+    pub closed_after_return: u64,
+    pub called_back: u64,
+    pub drains: u64,
+    pub takes: u64,
+    pub refused: u64,
+    pub leaders: u64,
+}
+
+impl Play {
+    pub fn new(seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut world = World { now: 1_800_000_000_000, ..World::default() };
+        let count = rng.usize(4..10);
+        let zones = ["a", "b", "c"];
+        for index in 0..count {
+            let group = if rng.bool() { "g" } else { "h" };
+            world.add(&format!("s{index}"), zones[index % 3], group, rng.u32(1..5));
+        }
+        let total: u64 = world.servers.values().map(|real| u64::from(real.weight)).sum();
+        let mut agreement = agreement(total * rng.u64(40..85) / 100, &[], rng.u32(1..5));
+        if rng.bool() {
+            let a =
+                world.servers.values().filter(|r| r.zone == "a").map(|r| u64::from(r.weight)).sum::<u64>();
+            agreement.keep_zone.insert("a".into(), a / 2);
+        }
+        if rng.bool() {
+            let g =
+                world.servers.values().filter(|r| r.group == "g").map(|r| u64::from(r.weight)).sum::<u64>();
+            agreement.keep_group.insert("g".into(), g / 2);
+        }
+        let mut play = Play {
+            rng,
+            world,
+            agreement,
+            machine: Machine::new(),
+            old: Vec::new(),
+            wires: Vec::new(),
+            asked: 0,
+            figures: Figures::default(),
+        };
+        play.apply(Event::Agreement(play.agreement.clone()));
+        play.apply(play.world.list());
+        play
+    }
+
+    /// Seats with an open grant: server and token of each.
+    pub fn open(&self) -> Vec<(String, u64, State)> {
+        let seats = self.machine.windows().into_iter().flat_map(|w| w.seats);
+        seats.filter(|s| s.state.granted()).map(|s| (s.server, s.token, s.state)).collect()
+    }
+
+    /// Applies an agreed event and audits what it did.
+    pub fn apply(&mut self, event: Event) -> Outcome {
+        let (before, token) = (self.open(), self.machine.last_token());
+        // Clocks of leaders differ; an event's time may lie before the last one's.
+        let skew = self.rng.i64(-SKEW_MS..=0);
+        let outcome = self.machine.apply(self.world.now + skew, event);
+        let after = self.open();
+        assert!(self.machine.last_token() >= token, "a token went back");
+        let granted: Vec<String> = after.iter().map(|(server, _, _)| server.clone()).collect();
+        for (server, new, state) in &after {
+            let had = before.iter().find(|(name, _, _)| name == server);
+            if *state == State::Draining && had.is_none_or(|(_, old, _)| old != new) {
+                assert!(*new > token, "a grant without a token of its own");
+                let fresh = had.is_none();
+                let bound = self.agreement.evidence_bound_ms + SKEW_MS;
+                let held = self.world.holds(&self.agreement, server, &granted, bound);
+                assert!(!fresh || held, "a grant of {server} breached the agreement");
+            }
+        }
+        for (server, _, state) in &before {
+            if !granted.contains(server) {
+                assert!(
+                    matches!(state, State::Returning | State::CalledBack),
+                    "{server} left from {state:?}"
+                );
+                let real = &self.world.servers[server];
+                let bound = self.agreement.evidence_bound_ms;
+                assert!(
+                    real.bad_since.is_none_or(|at| self.world.now - at < bound),
+                    "{server} credited, not there"
+                );
+                assert!(!real.drained && !real.taken, "{server} credited while drained or taken");
+                self.figures.closed_after_return += u64::from(*state == State::Returning);
+            }
+        }
+        self.figures.called_back += after
+            .iter()
+            .filter(|(server, _, state)| {
+                *state == State::CalledBack
+                    && !before.iter().any(|b| b.0 == *server && b.2 == State::CalledBack)
+            })
+            .count() as u64;
+        outcome
+    }
+
+    /// What is drained or taken must have an open grant, at every moment.
+    pub fn audit(&self) {
+        assert!(self.world.broken.is_empty(), "{:?}", self.world.broken);
+        let open = self.open();
+        for (name, real) in &self.world.servers {
+            let away = real.drained || real.taken;
+            assert!(
+                !away || open.iter().any(|(server, _, _)| server == name),
+                "{name} is away without a grant"
+            );
+        }
+    }
+
+    /// Nothing drains on while all together are below the floor even with what was called back.
+    pub fn audit_call_back(&self) {
+        let Some(capacity) = self.machine.capacity(0) else { return };
+        let (all, open) = (&capacity.rooms[0], self.open());
+        let drains = open.iter().any(|(_, _, s)| matches!(s, State::Draining | State::Clear));
+        let coming: u64 = open
+            .iter()
+            .filter(|(_, _, state)| *state == State::CalledBack)
+            .map(|(server, _, _)| u64::from(self.world.servers[server].weight))
+            .sum();
+        assert!(all.present + coming >= all.keep || !drains, "something drains below the floor");
+    }
+}
