Explore grant, token, clear and call-back exhaustively, with the machine itself in the model

With the debit taken out, the token check, or the wait for the clear, the model finds a history that breaks capacity, grant or clear.

--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -16,6 +16,8 @@
 mod grant;
 mod ledger;
 mod machine;
+#[cfg(test)]
+mod model;
 mod order;
 mod plan;
 mod planted;
