--- a/crates/maintenance/tests/histories.rs
+++ b/crates/maintenance/tests/histories.rs
@@ -32,6 +32,16 @@
     assert!(sum.closed_after_return > 300 && sum.booked > 600, "{sum:?}");
 }
 
+#[test]
+fn the_audit_cries_where_tokens_are_not_checked() {
+    let cries = (0..200).filter(|seed| {
+        let mut play = Play::new(*seed);
+        play.checks = false;
+        std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play.run())).is_err()
+    });
+    assert!(cries.count() > 10);
+}
+
 #[test]
 #[ignore = "minutes: 100,000 histories, whose figure docs/maintenance.md states"]
 fn a_hundred_thousand_histories() {
--- a/crates/maintenance/tests/play/mod.rs
+++ b/crates/maintenance/tests/play/mod.rs
@@ -26,6 +26,8 @@
     pub old: Vec<Machine>,
     pub wires: Vec<(i64, Wire)>,
     pub asked: u64,
+    /// Whether the thing acted on checks tokens.
+    pub checks: bool,
     pub figures: Figures,
 }
 
@@ -70,6 +72,7 @@
             old: Vec::new(),
             wires: Vec::new(),
             asked: 0,
+            checks: true,
             figures: Figures::default(),
         };
         play.apply(Event::Agreement(play.agreement.clone()));
--- a/crates/maintenance/tests/play/moves.rs
+++ b/crates/maintenance/tests/play/moves.rs
@@ -25,7 +25,7 @@
                     let warm = self.rng.i64(0..4_000);
                     let result = match self.rng.u8(0..12) {
                         0 => Answer::Failed,
-                        _ => self.world.act(&act, warm, true),
+                        _ => self.world.act(&act, warm, self.checks),
                     };
                     let Act { window, server, step, token } = act;
                     self.send(Wire::Event(Event::Acted { window, server, step, token, result }));
@@ -158,7 +158,7 @@
             let words = self.world.servers.keys().map(|name| self.world.word(name, 0)).collect();
             self.apply(Event::Evidence(words));
             for act in self.machine.due(self.world.now) {
-                let result = self.world.act(&act, 500, true);
+                let result = self.world.act(&act, 500, self.checks);
                 let Act { window, server, step, token } = act;
                 if step == Step::Drain {
                     self.world.cleared.push(token);
