Stand in for the platform that rolls servers out, and audit capacity, tokens and clear

Windows need something that is acted on. The lab's platform drains, takes and returns its servers over HTTP for whoever has a token that is not lower than one seen, and notes every act; the list that agents tell follows. Servers may come back late, not at all, or twice. Three auditors read that record; each is seen to cry in a test.

--- a/crates/lab/src/agent.rs
+++ b/crates/lab/src/agent.rs
@@ -2,6 +2,7 @@
 //! "Discovery").
 
 use crate::Us;
+use crate::catalogue::Catalogue;
 use crate::directory::State;
 use crate::listing;
 use crate::net::Clock;
@@ -34,6 +35,7 @@
     sidecar: usize,
     addresses: Arc<Vec<SocketAddr>>,
     mood: watch::Receiver<Mood>,
+    catalogue: Catalogue,
     /// What the sidecar has been told of each server.
     told: Mutex<BTreeMap<usize, State>>,
 }
@@ -46,11 +48,11 @@
         record: Record,
         sidecar: usize,
         addresses: Arc<Vec<SocketAddr>>,
-        mood: watch::Receiver<Mood>,
+        (mood, catalogue): (watch::Receiver<Mood>, Catalogue),
     ) -> Arc<Self> {
         let known = plan.directory.known.iter().map(|server| (*server, State::Active { since: None }));
         let told = Mutex::new(known.collect());
-        Arc::new(Self { plan, clock, record, sidecar, addresses, mood, told })
+        Arc::new(Self { plan, clock, record, sidecar, addresses, mood, catalogue, told })
     }
 
     /// Listens on a port of the system's choice on that host, until it is told to end.
@@ -73,7 +75,7 @@
 
     /// The list as it is known at the beginning, for the sidecar's configuration.
     pub fn known(&self) -> serde_json::Value {
-        self.list(&self.plan.directory.whole(0), 0, true)
+        self.list(&self.catalogue.with(|directory| directory.whole(0)), 0, true)
     }
 
     fn list(&self, entries: &[(usize, State)], heard: usize, whole: bool) -> serde_json::Value {
@@ -91,7 +93,7 @@
         };
         let (after, wait) = (number("after"), number("wait_ms").unwrap_or(0).saturating_mul(1000));
         let until = self.clock.now().saturating_add(wait.min(LONGEST_WATCH));
-        let mut mood = self.mood.clone();
+        let (mut mood, mut changes) = (self.mood.clone(), self.catalogue.subscribe());
         let text = loop {
             let now = *mood.borrow_and_update();
             match now {
@@ -101,20 +103,27 @@
                 Mood::Well => {}
             }
             let lag = self.plan.sidecars[self.sidecar].list_lag;
-            let heard = self.plan.directory.heard(self.clock.now(), lag);
+            changes.borrow_and_update();
+            let heard = self.catalogue.with(|directory| directory.heard(self.clock.now(), lag));
             // Version 1 is what is known before the first change; one that it does not know of is from elsewhere.
             let since =
                 after.and_then(|after| usize::try_from(after).ok()?.checked_sub(1)).filter(|s| *s <= heard);
             let Some(since) = since else {
-                break self.tell(&self.plan.directory.whole(heard), heard, true);
+                break self.tell(&self.catalogue.with(|directory| directory.whole(heard)), heard, true);
             };
             if since < heard || self.clock.now() >= until {
-                break self.tell(&self.plan.directory.between(since, heard), heard, false);
+                break self.tell(
+                    &self.catalogue.with(|directory| directory.between(since, heard)),
+                    heard,
+                    false,
+                );
             }
-            let next = self.plan.directory.next(heard, lag).unwrap_or(Us::MAX).min(until);
+            let next =
+                self.catalogue.with(|directory| directory.next(heard, lag)).unwrap_or(Us::MAX).min(until);
             tokio::select! {
                 () = self.clock.until(next) => {}
                 Ok(()) = mood.changed() => {}
+                Ok(()) = changes.changed() => {}
             }
         };
         Ok(Response::new(Full::new(Bytes::from(text))))
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -2,16 +2,21 @@
 //! audit. Changes with those rules.
 
 mod answers;
+mod capacity;
+mod clear;
 mod cold;
 mod drains;
 mod listed;
 mod repeats;
 #[cfg(test)]
 mod tests;
+mod tokens;
 
 use crate::Us;
 use crate::plan::Plan;
 use crate::record::{Entry, Seen};
+pub use capacity::capacities;
+use clear::clears;
 use serde::Serialize;
 use std::fmt;
 
@@ -31,6 +36,12 @@
     Listed,
     /// A sidecar starts, runs and stops in time.
     Process,
+    /// No grant brings the capacity that is there below the agreement, and a death that does is answered in time.
+    Capacity,
+    /// No act with a token lower than one seen is carried out.
+    Tokens,
+    /// A server is taken only once nothing runs there any more.
+    Clear,
 }
 
 impl fmt::Display for Rule {
@@ -42,6 +53,9 @@
             Self::Cold => "cold",
             Self::Listed => "listed",
             Self::Process => "process",
+            Self::Capacity => "capacity",
+            Self::Tokens => "tokens",
+            Self::Clear => "clear",
         })
     }
 }
@@ -66,10 +80,18 @@
     cold::cold(plan, record, &mut findings);
     listed::listed(plan, record, &mut findings);
     processes(record, &mut findings);
+    findings.extend(tokens::tokens(record));
     findings.sort_by(|a, b| (a.at, a.rule, &a.what).cmp(&(b.at, b.rule, &b.what)));
     findings
 }
 
+/// Holds the rules of maintenance against a play whose windows are granted.
+pub fn audit_windows(plan: &Plan, record: &[Entry]) -> Vec<Finding> {
+    let mut findings = capacities(plan, record).0;
+    findings.extend(clears(record));
+    findings
+}
+
 fn processes(record: &[Entry], findings: &mut Vec<Finding>) {
     for (at, seen) in record {
         if let Seen::SidecarFault { sidecar, what } = seen {
--- /dev/null
+++ b/crates/lab/src/audit/capacity.rs
@@ -0,0 +1,189 @@
+//! What is away by grant never brings the capacity that is there below the agreement. Changes with what counts as
+//! there, from the servers' own record.
+
+use super::{Finding, Rule};
+use crate::Us;
+use crate::listing::capacity;
+use crate::plan::{Kept, Plan};
+use crate::record::{Act, Entry, Seen};
+use std::collections::HashMap;
+
+#[derive(Clone, Copy)]
+struct Server {
+    weight: u64,
+    zone: usize,
+    /// Drained or taken by an accepted act, and not seen to serve since it was returned.
+    by_act: bool,
+    /// Drained and not taken.
+    drains: bool,
+    /// Since when its process has been down or silent, without an act.
+    dead: Option<Us>,
+}
+
+struct Count<'a> {
+    kept: &'a Kept,
+    servers: Vec<Server>,
+}
+
+impl Count<'_> {
+    /// What is there falls short of: a sentence, where it does. Deaths count from `known` on.
+    fn short(&self, known: impl Fn(Us) -> bool) -> Option<String> {
+        let missing = |s: &&Server| s.by_act || s.dead.is_some_and(&known);
+        let there = |zone: Option<usize>| -> u64 {
+            let of = |s: &&Server| zone.is_none_or(|zone| zone == s.zone) && !missing(s);
+            self.servers.iter().filter(of).map(|s| s.weight).sum()
+        };
+        let away = self.servers.iter().filter(missing).count();
+        if away > self.kept.most_away {
+            return Some(format!("{away} servers are away of {} at most", self.kept.most_away));
+        }
+        if there(None) < self.kept.keep {
+            return Some(format!("{} of capacity is there and {} must stay", there(None), self.kept.keep));
+        }
+        let zone =
+            (0..self.kept.keep_zone.len()).find(|zone| there(Some(*zone)) < self.kept.keep_zone[*zone])?;
+        Some(format!(
+            "{} is there in zone {zone} and {} must stay",
+            there(Some(zone)),
+            self.kept.keep_zone[zone]
+        ))
+    }
+}
+
+/// Holds the agreement against the acts of a play. The least part of the capacity that was there at any time comes
+/// second, deaths included.
+pub fn capacities(plan: &Plan, record: &[Entry]) -> (Vec<Finding>, f64) {
+    let Some(kept) = &plan.kept else { return (Vec::new(), 1.0) };
+    let servers = plan.servers.iter().filter(|spec| spec.first);
+    let server = |weight, zone| Server { weight, zone, by_act: false, drains: false, dead: None };
+    let mut count = Count { kept, servers: servers.map(|spec| server(capacity(spec), spec.zone)).collect() };
+    let whole: u64 = count.servers.iter().map(|s| s.weight).sum();
+    let (mut findings, mut least, mut short_since) = (Vec::new(), whole, None::<Us>);
+    let mut of_attempt: HashMap<u64, usize> = HashMap::new();
+    for (at, seen) in record {
+        // What was short and could be helped by calling back what drains has to be helped in time.
+        if let Some(since) = short_since.filter(|since| *at > since + kept.answered_within) {
+            let drains = count.servers.iter().filter(|s| s.drains).count();
+            if drains > 0 {
+                let what = format!(
+                    "{drains} servers still drain {} ms after a death that the agreement has no room for",
+                    (at - since) / 1000
+                );
+                findings.push(Finding { rule: Rule::Capacity, at: *at, what });
+            }
+            short_since = None;
+        }
+        match seen {
+            Seen::Acted { act, server, window, accepted: true, .. } => {
+                let Some(s) = count.servers.get_mut(*server) else { continue };
+                let was = *s;
+                match act {
+                    Act::Drain => (s.drains, s.by_act) = (!was.by_act || was.drains, true),
+                    Act::Take => (s.drains, s.by_act) = (false, true),
+                    Act::Return | Act::CallBack if was.drains => (s.drains, s.by_act) = (false, false),
+                    Act::Return | Act::CallBack => {}
+                }
+                let known = |since: Us| *at > since + kept.answered_within;
+                if matches!(act, Act::Drain | Act::Take)
+                    && !was.by_act
+                    && let Some(short) = count.short(known)
+                {
+                    let what = format!("server {server} went away for window {window}: {short}");
+                    findings.push(Finding { rule: Rule::Capacity, at: *at, what });
+                }
+            }
+            Seen::ServerDown { server } | Seen::ServerSilent { server, on: true } => {
+                let Some(s) = count.servers.get_mut(*server) else { continue };
+                s.dead = s.dead.or(Some(*at));
+                if !s.by_act && count.short(|_| true).is_some() {
+                    short_since = short_since.or(Some(*at));
+                }
+            }
+            Seen::ServerUp { server } | Seen::ServerSilent { server, on: false } => {
+                if let Some(s) = count.servers.get_mut(*server) {
+                    s.dead = None;
+                }
+            }
+            Seen::Attempt { number, server, .. } => drop(of_attempt.insert(*number, *server)),
+            Seen::AttemptAnswered { number, status: 200, .. } => {
+                let server = of_attempt.remove(number).and_then(|server| count.servers.get_mut(server));
+                if let Some(s) = server.filter(|s| s.by_act && !s.drains && s.dead.is_none()) {
+                    s.by_act = false;
+                }
+            }
+            _ => {}
+        }
+        if count.short(|_| true).is_none() {
+            short_since = None;
+        }
+        let there = count.servers.iter().filter(|s| !s.by_act && s.dead.is_none()).map(|s| s.weight).sum();
+        least = least.min(there);
+    }
+    (findings, least as f64 / whole.max(1) as f64)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::SECOND;
+    use crate::draw::draw;
+    use crate::experiment::Experiment;
+
+    /// Servers of one weight, of which two may be away.
+    fn plan() -> Plan {
+        let mut plan = draw(&Experiment { name: "a".to_owned(), ..Experiment::default() }, 1);
+        plan.servers.iter_mut().for_each(|spec| spec.kind = 1);
+        let weight = capacity(&plan.servers[0]);
+        let keep = weight * (plan.servers.len() as u64 - 2);
+        let keep_zone = vec![0; 3];
+        plan.kept = Some(Kept { keep, keep_zone, most_away: 9, answered_within: 8 * SECOND });
+        plan
+    }
+
+    fn acted(at: Us, act: Act, server: usize) -> Entry {
+        (at, Seen::Acted { act, server, window: 1, token: at, accepted: true })
+    }
+
+    fn broken(record: &[Entry]) -> Vec<Us> {
+        capacities(&plan(), record).0.iter().map(|finding| finding.at).collect()
+    }
+
+    #[test]
+    fn two_may_be_away_a_third_not_and_one_that_was_only_returned_is_still_away() {
+        let two = [acted(1, Act::Drain, 0), acted(2, Act::Drain, 1)];
+        assert_eq!(broken(&two), Vec::<Us>::new());
+        assert_eq!(broken(&[&two[..], &[acted(3, Act::Drain, 2)]].concat()), [3]);
+        assert_eq!(broken(&[&two[..], &[acted(3, Act::Take, 2)]].concat()), [3], "taken without a drain");
+        assert_eq!(
+            broken(&[&two[..], &[acted(3, Act::CallBack, 1), acted(4, Act::Drain, 2)]].concat()),
+            Vec::<Us>::new()
+        );
+        let back = [acted(3, Act::Take, 0), acted(4, Act::Return, 0), (5, Seen::ServerUp { server: 0 })];
+        assert_eq!(broken(&[&two[..], &back, &[acted(6, Act::Drain, 2)]].concat()), [6]);
+        let served = [
+            (6, Seen::Attempt { number: 1, request: None, sidecar: 0, server: 0, began: 6 }),
+            (7, Seen::AttemptAnswered { number: 1, status: 200, unprocessed: false }),
+        ];
+        assert_eq!(
+            broken(&[&two[..], &back, &served, &[acted(8, Act::Drain, 2)]].concat()),
+            Vec::<Us>::new()
+        );
+    }
+
+    #[test]
+    fn a_death_counts_once_it_must_be_known_and_what_drains_then_is_called_back_in_time() {
+        let late = 10 * SECOND;
+        let dead = (1, Seen::ServerDown { server: 5 });
+        let one = [dead.clone(), acted(2, Act::Drain, 0)];
+        assert_eq!(
+            broken(&[&one[..], &[acted(3, Act::Drain, 1)]].concat()),
+            Vec::<Us>::new(),
+            "nobody could know yet"
+        );
+        assert_eq!(broken(&[&one[..], &[acted(late, Act::Drain, 1)]].concat()), [late]);
+        let two = [acted(1, Act::Drain, 0), acted(2, Act::Drain, 1), (3, Seen::ServerDown { server: 5 })];
+        let end = (late, Seen::Probe { server: 7 });
+        assert_eq!(broken(&[&two[..], std::slice::from_ref(&end)].concat()), [late], "both drain on");
+        assert_eq!(broken(&[&two[..], &[acted(SECOND, Act::CallBack, 1), end]].concat()), Vec::<Us>::new());
+    }
+}
--- /dev/null
+++ b/crates/lab/src/audit/clear.rs
@@ -0,0 +1,52 @@
+//! A server is taken only once nothing runs there any more. Changes with when a server counts as clear.
+
+use super::{Finding, Rule};
+use crate::record::{Act, Entry, Seen};
+use std::collections::{HashMap, HashSet};
+
+/// Holds every take of a play against what ran at the server at that moment.
+pub fn clears(record: &[Entry]) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let mut runs: HashMap<usize, HashSet<u64>> = HashMap::new();
+    let mut of: HashMap<u64, usize> = HashMap::new();
+    let mut away: HashSet<usize> = HashSet::new();
+    for (at, seen) in record {
+        match seen {
+            Seen::Attempt { number, server, .. } => {
+                of.insert(*number, *server);
+                runs.entry(*server).or_default().insert(*number);
+            }
+            Seen::AttemptAnswered { number, .. } | Seen::AttemptSwallowed { number } => {
+                if let Some(server) = of.remove(number) {
+                    runs.entry(server).or_default().remove(number);
+                }
+            }
+            Seen::Acted { act: Act::Take, server, window, accepted: true, .. } if away.insert(*server) => {
+                let count = runs.get(server).map_or(0, HashSet::len);
+                if count > 0 {
+                    let what = format!(
+                        "server {server} was taken for window {window} while {count} requests ran there"
+                    );
+                    findings.push(Finding { rule: Rule::Clear, at: *at, what });
+                }
+            }
+            Seen::ServerUp { server } => drop(away.remove(server)),
+            _ => {}
+        }
+    }
+    findings
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_runs_at_a_server_that_is_taken_was_not_waited_for() {
+        let attempt = (1, Seen::Attempt { number: 1, request: None, sidecar: 0, server: 3, began: 1 });
+        let answered = (2, Seen::AttemptAnswered { number: 1, status: 200, unprocessed: false });
+        let take = (3, Seen::Acted { act: Act::Take, server: 3, window: 1, token: 1, accepted: true });
+        assert_eq!(clears(&[attempt.clone(), take.clone()]).len(), 1);
+        assert_eq!(clears(&[attempt, answered, take]), []);
+    }
+}
--- a/crates/lab/src/bin/linenproxy-lab/main.rs
+++ b/crates/lab/src/bin/linenproxy-lab/main.rs
@@ -93,6 +93,7 @@
                 name: name.to_owned(),
                 program: Some(program.to_owned()),
                 config: config.clone(),
+                ..Variant::default()
             };
             experiment.variant = vec![variant("old", &both.old), variant("new", &both.new)];
             experiment.bounds.measure.retain(|b| b.variant.is_none() && b.against.is_none());
--- a/crates/lab/src/bin/linenproxy-lab/up.rs
+++ b/crates/lab/src/bin/linenproxy-lab/up.rs
@@ -29,7 +29,7 @@
             .map_err(|e| say(&format!("cannot read {}: {e}", file.display()), Exit::Io))?,
         None => String::new(),
     };
-    experiment.variant = vec![Variant { name: "up".to_owned(), program: None, config }];
+    experiment.variant = vec![Variant { name: "up".to_owned(), config, ..Variant::default() }];
     config::Configuration::check(&experiment)
         .map_err(|c| say(&format!("{}: {}", c.key, c.what), Exit::Usage))?;
     let launch = kept(program(up.program)?, Time(READY_WITHIN));
--- /dev/null
+++ b/crates/lab/src/catalogue.rs
@@ -0,0 +1,81 @@
+//! The list of servers while a play goes on: what was drawn ahead, and what the platform adds. Changes with who may
+//! change the list.
+
+use crate::Us;
+use crate::directory::{Change, Directory, State};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::watch;
+
+/// A list that many read and the platform changes.
+#[derive(Clone, Debug)]
+pub struct Catalogue {
+    directory: Arc<Mutex<Directory>>,
+    changes: Arc<watch::Sender<u64>>,
+}
+
+impl Catalogue {
+    /// As it was drawn.
+    pub fn new(directory: Directory) -> Self {
+        Self { directory: Arc::new(Mutex::new(directory)), changes: Arc::new(watch::channel(0).0) }
+    }
+
+    /// Reads the list.
+    pub fn with<T>(&self, what: impl FnOnce(&Directory) -> T) -> T {
+        what(&self.directory.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// A server's state changes now. What was drawn of it for later no longer comes: the platform has it in hand.
+    pub fn set(&self, now: Us, server: usize, state: State) {
+        let mut directory = self.directory.lock().unwrap_or_else(PoisonError::into_inner);
+        directory.changes.retain(|change| change.at <= now || change.server != server);
+        // Nobody has heard of what comes later, so that no version changes its meaning.
+        let place = directory.changes.partition_point(|change| change.at <= now);
+        directory.changes.insert(place, Change { at: now, server, state });
+        drop(directory);
+        self.changes.send_modify(|number| *number += 1);
+    }
+
+    /// When a server's process that is listed at `now` started, as the list has it.
+    pub fn since(&self, now: Us, server: usize) -> Option<Us> {
+        self.with(|directory| {
+            let earlier = directory.changes.iter().take_while(|change| change.at <= now);
+            let last =
+                earlier.filter(|change| change.server == server).filter_map(|change| match change.state {
+                    State::Active { since } => Some(since),
+                    State::Leaving | State::Left => None,
+                });
+            last.last().flatten()
+        })
+    }
+
+    /// Told of each change by the platform.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_platform_changes_what_was_drawn_and_no_version_that_was_heard() {
+        let active = |since| State::Active { since };
+        let drawn = [(5, 0, State::Left), (20, 0, active(Some(20))), (20, 1, State::Left)];
+        let changes = drawn.map(|(at, server, state)| Change { at, server, state }).to_vec();
+        let catalogue = Catalogue::new(Directory { known: vec![0, 1, 2], changes });
+        let heard = catalogue.with(|d| (d.heard(10, 0), d.whole(d.heard(10, 0))));
+        catalogue.set(10, 0, State::Leaving);
+        assert_eq!(catalogue.with(|d| d.whole(heard.0)), heard.1);
+        assert_eq!(
+            catalogue.with(|d| d.whole(d.heard(30, 0))),
+            [(0, State::Leaving), (2, active(None))],
+            "what was drawn for server 0 no longer comes"
+        );
+        catalogue.set(31, 0, active(Some(31)));
+        assert_eq!(
+            (catalogue.since(30, 0), catalogue.since(31, 0), catalogue.since(31, 2)),
+            (None, Some(31), None)
+        );
+    }
+}
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -3,6 +3,7 @@
 
 mod arrivals;
 mod faults;
+mod windows;
 
 use crate::Us;
 use crate::directory::Directory;
@@ -12,7 +13,9 @@
 use crate::site::{self, KINDS};
 use arrivals::arrivals;
 use fastrand::Rng;
+pub(crate) use faults::DRAINS_FOR;
 use faults::Faults;
+use windows::{kept, windows};
 
 fn us(time: linenproxy_common::units::Time) -> Us {
     Us::try_from(time.0.as_micros()).unwrap_or(Us::MAX)
@@ -85,11 +88,14 @@
     steps.sort_by_key(|(at, _)| *at);
     changes.sort_by_key(|change| change.at);
     let known = (0..t.servers).collect();
+    let windows = windows(experiment, &servers, &mut stream(seed, 5));
     Plan {
         seed,
         limits,
         arrivals: arrivals(experiment, &sidecars, seed),
         directory: Directory { known, changes },
+        kept: kept(experiment, &servers),
+        windows,
         servers,
         sidecars,
         steps,
--- a/crates/lab/src/draw/faults.rs
+++ b/crates/lab/src/draw/faults.rs
@@ -3,7 +3,7 @@
 use super::{server, us};
 use crate::directory::{Change, State};
 use crate::experiment::{Fault, FaultKind, Way};
-use crate::plan::{Mood, ServerSpec, SidecarSpec, Step};
+use crate::plan::{Mood, Returns, ServerSpec, SidecarSpec, Step};
 use crate::{SECOND, Us};
 use fastrand::Rng;
 
@@ -19,7 +19,7 @@
 
 /// How long a server that has left the list's active ones goes on with what it has: past the last time at which the
 /// rules allow it something new, and the longest deadline.
-const DRAINS_FOR: Us = 6 * SECOND;
+pub(crate) const DRAINS_FOR: Us = 6 * SECOND;
 
 impl Faults<'_> {
     pub(super) fn add(&mut self, fault: &Fault) {
@@ -36,6 +36,15 @@
                 FaultKind::ServersSlow => (Step::ServerSlow(i, size), Step::ServerSlow(i, 1.0)),
                 FaultKind::ServersFail => (Step::ServerFails(i, size), Step::ServerFails(i, 0.0)),
                 FaultKind::SidecarsKill => (Step::SidecarKill(i), Step::SidecarStart(i)),
+                FaultKind::ReturnsNever => {
+                    (Step::Returns(i, Returns::Never), Step::Returns(i, Returns::Well))
+                }
+                FaultKind::ReturnsTwice => {
+                    (Step::Returns(i, Returns::Twice), Step::Returns(i, Returns::Well))
+                }
+                FaultKind::ReturnsLate => {
+                    (Step::Returns(i, Returns::Late((size * 1000.0) as Us)), Step::Returns(i, Returns::Well))
+                }
                 FaultKind::SidecarsPause => (Step::SidecarPause(i, true), Step::SidecarPause(i, false)),
                 FaultKind::SidecarsClock => {
                     self.sidecars[i].clock_offset_ms = size as i64;
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -3,10 +3,12 @@
 
 mod check;
 mod fault;
+mod maintenance;
 
 use crate::outcome::Measure;
 pub use fault::{Fault, FaultKind, Way};
 use linenproxy_common::units::Time;
+pub use maintenance::{Agreed, Carried, Stewards, Window};
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
 
@@ -26,6 +28,14 @@
     pub network: Network,
     /// What goes wrong, and when.
     pub fault: Vec<Fault>,
+    /// Maintenance that is wanted.
+    pub window: Vec<Window>,
+    /// The capacity that was agreed to stay.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub agreement: Option<Agreed>,
+    /// Who is asked for windows.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stewards: Option<Stewards>,
     /// What is compared; the first is what the others are held against.
     pub variant: Vec<Variant>,
     /// What has to hold.
@@ -95,6 +105,8 @@
     pub program: Option<PathBuf>,
     /// Its product configuration, as the text of a file.
     pub config: String,
+    /// Who carries the experiment's windows out.
+    pub windows: Carried,
 }
 
 /// What has to hold.
--- a/crates/lab/src/experiment/check.rs
+++ b/crates/lab/src/experiment/check.rs
@@ -1,6 +1,6 @@
 //! What an experiment's file may not ask for. Changes with the limits of the lab.
 
-use super::{Experiment, FaultKind};
+use super::{Carried, Experiment, FaultKind};
 use linenproxy_common::config::{Configuration, Contradiction};
 
 const MOST_SIDECARS: usize = 10_000;
@@ -56,6 +56,7 @@
                     | FaultKind::NetworkSlow
                     | FaultKind::NetworkResets
                     | FaultKind::SidecarsClock
+                    | FaultKind::ReturnsLate
                     | FaultKind::DatagramsLost
                     | FaultKind::DatagramsRepeated
                     | FaultKind::DatagramsLate
@@ -63,13 +64,36 @@
             if sized != fault.size.is_some() || fault.size.is_some_and(|s| !(0.0..=1e4).contains(&s)) {
                 return wrong(
                     "fault",
-                    "size belongs to servers-slow, servers-fail, network-slow, network-resets, sidecars-clock and datagrams-*",
+                    "size belongs to servers-slow, servers-fail, network-slow, network-resets, returns-late, sidecars-clock and datagrams-*",
                 );
             }
             if (fault.kind == FaultKind::ZoneCut) != fault.way.is_some() {
                 return wrong("fault", "way belongs to zone-cut");
             }
         }
+        for window in &self.window {
+            if window.at >= l.lasts || window.servers == 0 || window.zone.is_some_and(|z| z >= t.zones) {
+                return wrong(
+                    "window",
+                    "at must lie before load.lasts, servers be above 0, zone one of topology.zones",
+                );
+            }
+            if window.length.0.is_zero() || window.latest.is_some_and(|latest| latest <= window.at) {
+                return wrong("window", "length must be above 0, latest after at");
+            }
+        }
+        if let Some(agreed) = &self.agreement
+            && (!part(agreed.keep) || !part(agreed.keep_zone) || agreed.most_away == 0)
+        {
+            return wrong("agreement", "keep and keep_zone from 0 to 1, most_away above 0");
+        }
+        let asked = self.variant.iter().any(|variant| variant.windows == Carried::Asked);
+        if asked != self.stewards.is_some() || (asked && self.agreement.is_none()) {
+            return wrong("stewards", "they belong to windows = \"asked\", and need an agreement");
+        }
+        if self.stewards.as_ref().is_some_and(|stewards| ![3, 5].contains(&stewards.count)) {
+            return wrong("stewards.count", "3 or 5");
+        }
         let mut names: Vec<&str> = self.variant.iter().map(|v| v.name.as_str()).collect();
         if names.is_empty() || names.iter().any(|n| n.is_empty()) {
             return wrong("variant", "at least one, each with a name");
--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -41,6 +41,12 @@
     ServersFail,
     /// Servers are replaced one after the other: each drains and leaves, and a cold one with another name comes.
     ServersReplace,
+    /// Servers that a platform returns do not come back.
+    ReturnsNever,
+    /// They come back `size` milliseconds late.
+    ReturnsLate,
+    /// They come back, and a moment later once more, under another start.
+    ReturnsTwice,
     /// Nothing passes between the zone and the others.
     ZoneCut,
     /// Everything between sidecars and servers takes `size` milliseconds longer.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod agent;
 pub mod apps;
 pub mod audit;
+pub mod catalogue;
 pub mod comparison;
+pub mod crew;
 pub mod datagrams;
 pub mod directory;
 pub mod door;
@@ -20,6 +22,7 @@
 pub mod net;
 pub mod outcome;
 pub mod plan;
+pub mod platform;
 pub mod play;
 pub mod record;
 pub mod relay;
--- a/crates/lab/src/listing.rs
+++ b/crates/lab/src/listing.rs
@@ -22,6 +22,11 @@
     (kind.speed.0 + kind.speed.1) / 2.0
 }
 
+/// The capacity of a server in thousandths of a core of speed 1, as whole numbers for who adds them up.
+pub fn capacity(spec: &ServerSpec) -> u64 {
+    (weight(spec) * 1000.0).round() as u64
+}
+
 /// A list in the form of the protocol page.
 pub fn list(
     plan: &Plan,
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -48,6 +48,16 @@
     P50Ms,
     /// The time under which 99 in 100 lie, in milliseconds.
     P99Ms,
+    /// Servers that were taken for a window and came back, over those that windows were asked for.
+    Maintained,
+    /// Time from the first window that was asked for until the last server is back, in seconds.
+    MaintenanceS,
+    /// Times that a server went away against the agreement, or a death was not answered in time.
+    CapacityBreaches,
+    /// The least part of the capacity that was there at any time, deaths included; 1 where nothing was agreed.
+    LeastCapacity,
+    /// Acts that the platform refused as their token was too low.
+    TokensRefused,
     /// How late the lab itself was, one request in a hundred, in milliseconds.
     LatenessMs,
     /// Broken rules.
@@ -56,7 +66,7 @@
 
 impl Measure {
     /// All of them.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 28] = [
         Self::Served,
         Self::ServedWorstClass,
         Self::ServedWorstSecond,
@@ -78,6 +88,11 @@
         Self::Fallen,
         Self::P50Ms,
         Self::P99Ms,
+        Self::Maintained,
+        Self::MaintenanceS,
+        Self::CapacityBreaches,
+        Self::LeastCapacity,
+        Self::TokensRefused,
         Self::LatenessMs,
         Self::BrokenRules,
     ];
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -105,6 +105,22 @@
     Lies(bool),
     /// What discovery's agents do.
     Agents(Mood),
+    /// How a server comes back that the platform returns.
+    Returns(usize, Returns),
+}
+
+/// How a server comes back that was taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Returns {
+    /// At once, cold.
+    #[default]
+    Well,
+    /// So much later.
+    Late(Us),
+    /// Not at all.
+    Never,
+    /// At once, and a moment later once more, under another start.
+    Twice,
 }
 
 /// How discovery's agents answer.
@@ -121,6 +137,38 @@
     Empty,
 }
 
+/// Servers that are to be away for maintenance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WindowSpec {
+    /// When it is asked for, and its earliest start.
+    pub at: Us,
+    /// Which.
+    pub servers: Vec<usize>,
+    /// How long each is away, from its drain to its return, and how much longer it may be.
+    pub length: Us,
+    /// See `length`.
+    pub overrun: Us,
+    /// Latest end.
+    pub latest: Us,
+    /// Higher goes first.
+    pub priority: u8,
+    /// Whether its servers may go in waves.
+    pub split: bool,
+}
+
+/// The capacity that was agreed to stay, as [`capacity`](crate::listing::capacity) counts it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kept {
+    /// Of all zones together.
+    pub keep: u64,
+    /// Of each zone by itself.
+    pub keep_zone: Vec<u64>,
+    /// Servers away at once.
+    pub most_away: usize,
+    /// How soon a death must be known and answered.
+    pub answered_within: Us,
+}
+
 /// A whole play, as it will be.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
@@ -136,6 +184,10 @@
     pub arrivals: Vec<Arrival>,
     /// Faults by time.
     pub steps: Vec<(Us, Step)>,
+    /// Maintenance that is wanted.
+    pub windows: Vec<WindowSpec>,
+    /// What was agreed on, if anything was.
+    pub kept: Option<Kept>,
     /// What the list tells of, by time.
     pub directory: Directory,
     /// When the last request has come.
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -5,8 +5,9 @@
 mod stage;
 
 use crate::apps::Apps;
-use crate::audit::audit;
-use crate::experiment::{Experiment, Variant};
+use crate::audit::{audit, audit_windows};
+use crate::crew::carry_out;
+use crate::experiment::{Carried, Experiment, Variant};
 use crate::fronts::Fronts;
 use crate::plan::Plan;
 use crate::record::Record;
@@ -105,6 +106,8 @@
             }
         }
     });
+    let (clock, platform) = (stage.clock.clone(), Arc::clone(&stage.platform));
+    tasks.spawn(carry_out(Arc::clone(plan), clock, platform, variant.windows));
     let apps = Arc::new(Apps {
         plan: Arc::clone(plan),
         clock: stage.clock.clone(),
@@ -120,7 +123,10 @@
     let record = stage.record.take();
     let (work, savable, fallen) =
         stage.servers.with(|world, _, _| (world.work(), world.savable(), world.fallen().len()));
-    let findings = audit(plan, &record);
+    let mut findings = audit(plan, &record);
+    if variant.windows == Carried::Asked {
+        findings.extend(audit_windows(plan, &record));
+    }
     let mut spent = Vec::new();
     for sidecar in 0..stage.sidecars.len() {
         if let Some(process) = stage.process(sidecar) {
--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -3,12 +3,14 @@
 use super::stage::{Sidecar, Stage};
 use super::{FLEET, Launch, PlayError, Tasks};
 use crate::agent::Agent;
+use crate::catalogue::Catalogue;
 use crate::datagrams::Datagrams;
 use crate::experiment::{Experiment, FaultKind, Variant};
 use crate::fronts::Fronts;
 use crate::liar::lie;
 use crate::net::{Clock, Net};
 use crate::plan::{Mood, Plan};
+use crate::platform::Platform;
 use crate::record::Record;
 use crate::servers::Servers;
 use crate::site;
@@ -50,6 +52,14 @@
     let (net, mood) = (Net::new(&experiment.network), watch::channel(Mood::Well).0);
     let servers =
         Servers::new(Arc::clone(plan), clock.clone(), record.clone(), experiment.topology.connections);
+    let catalogue = Catalogue::new(plan.directory.clone());
+    let platform = Platform::new(
+        Arc::clone(plan),
+        clock.clone(),
+        record.clone(),
+        Arc::clone(&servers),
+        catalogue.clone(),
+    );
     let (datagrams, lies) = (watch::channel(Datagrams::default()).0, watch::channel(false).0);
     let liar = experiment.fault.iter().find(|f| f.kind == FaultKind::MemberLies);
     // Only who asks for a fleet has its sockets.
@@ -87,7 +97,7 @@
             record.clone(),
             sidecar,
             Arc::new(addresses),
-            mood.subscribe(),
+            (mood.subscribe(), catalogue.clone()),
         );
         let (discovery, task) = agent.listen(host(1, sidecar)).map_err(io("no socket for an agent"))?;
         tasks.0.push(task);
@@ -127,6 +137,7 @@
         record,
         net,
         servers,
+        platform,
         mood,
         datagrams,
         lies,
--- a/crates/lab/src/play/stage.rs
+++ b/crates/lab/src/play/stage.rs
@@ -4,6 +4,7 @@
 use crate::fronts::Fronts;
 use crate::net::{Clock, Net};
 use crate::plan::{Mood, Step};
+use crate::platform::Platform;
 use crate::record::{Record, Seen};
 use crate::servers::Servers;
 use crate::supervisor::Supervised;
@@ -27,6 +28,7 @@
     pub(super) record: Record,
     pub(super) net: Net,
     pub(super) servers: Arc<Servers>,
+    pub(super) platform: Arc<Platform>,
     pub(super) mood: watch::Sender<Mood>,
     pub(super) datagrams: watch::Sender<Datagrams>,
     pub(super) lies: watch::Sender<bool>,
@@ -51,7 +53,10 @@
     pub(super) async fn step(self: &Arc<Self>, step: Step) {
         match step {
             Step::ServerDown(server) => self.servers.stop(server),
-            Step::ServerUp(server) => self.servers.start(server),
+            Step::ServerUp(server) if self.platform.may_start(server) => self.servers.start(server),
+            // The platform will start it.
+            Step::ServerUp(_) => {}
+            Step::Returns(server, how) => self.platform.returns(server, how),
             Step::ServerSilent(server, on) => self.servers.silence(server, on),
             Step::ServerSlow(server, times) => self.servers.with(|world, now, done| {
                 world.advance(now, done);
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -8,6 +8,19 @@
 /// A client's try, by the number in its correlation id.
 pub type Try = u64;
 
+/// What the platform is asked to do to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Act {
+    /// List it as leaving.
+    Drain,
+    /// End its process.
+    Take,
+    /// Start it again, or list it as active again where it was not taken.
+    Return,
+    /// List it as active again, unless it was taken.
+    CallBack,
+}
+
 /// Something seen.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Seen {
@@ -99,6 +112,31 @@
         /// The server.
         server: usize,
     },
+    /// Its process has ended.
+    ServerDown {
+        /// The server.
+        server: usize,
+    },
+    /// It answers nothing any more, or again.
+    ServerSilent {
+        /// The server.
+        server: usize,
+        /// It falls silent.
+        on: bool,
+    },
+    /// The platform was asked for something.
+    Acted {
+        /// For what.
+        act: Act,
+        /// At which server.
+        server: usize,
+        /// For which window.
+        window: u64,
+        /// With which token.
+        token: u64,
+        /// It was done, or was done already.
+        accepted: bool,
+    },
     /// A sidecar's process is ready.
     SidecarUp {
         /// The sidecar.
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -115,6 +115,7 @@
     /// It takes requests and answers none, or no longer so.
     pub fn silence(&self, server: usize, on: bool) {
         self.lose(|world| world.silence(server, on));
+        self.record.note(self.clock.now(), Seen::ServerSilent { server, on });
     }
 
     /// What a server gives up is never done: who waits for it is told so.
@@ -138,6 +139,7 @@
     }
 
     fn end(&self, server: usize) {
+        self.record.note(self.clock.now(), Seen::ServerDown { server });
         self.lives[server].send_modify(|life| life.up = false);
     }
 
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -1,5 +1,7 @@
 //! Turns the record of one play into figures and curves. Changes with how a figure is counted.
 
+mod maintenance;
+
 use crate::audit::Finding;
 use crate::outcome::Measure;
 use crate::plan::{Plan, Step};
@@ -8,6 +10,7 @@
 use crate::supervisor::Spent;
 use crate::{SECOND, Us};
 use hdrhistogram::Histogram;
+use maintenance::maintenance;
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 
@@ -201,7 +204,7 @@
         (Measure::BrokenRules, findings.len() as f64),
     ];
     Tally {
-        measures: measures.into_iter().collect(),
+        measures: measures.into_iter().chain(maintenance(plan, record)).collect(),
         served: asked.iter().zip(&served).map(|(a, s)| if *a > 0.0 { s / a } else { 1.0 }).collect(),
         attempts: attempts_over_time,
         by_server,
