--- a/crates/maintenance/src/model.rs
+++ b/crates/maintenance/src/model.rs
@@ -96,7 +96,8 @@
             }
             Step::Drain => {}
             Step::Take => {
-                self.unclear |= !real.taken && !(real.drained && real.cleared && real.drain == token);
+                let clear = real.drained && real.cleared && real.drain == token;
+                self.unclear |= !(real.taken || clear);
                 real.taken = true;
             }
             Step::CallBack if real.taken => return Answer::Taken,
--- a/crates/maintenance/tests/solver.rs
+++ b/crates/maintenance/tests/solver.rs
@@ -219,10 +219,7 @@
         .map(|part| {
             std::thread::spawn(move || {
                 let seeds = (0..INSTANCES).filter(move |seed| seed % 4 == part);
-                seeds
-                    .map(|seed| instance(seed))
-                    .map(|i| (i.ours() as f64) / (i.best() as f64))
-                    .collect::<Vec<_>>()
+                seeds.map(instance).map(|i| (i.ours() as f64) / (i.best() as f64)).collect::<Vec<_>>()
             })
         })
         .collect();
