--- a/crates/maintenance/tests/rules.rs
+++ b/crates/maintenance/tests/rules.rs
@@ -61,8 +61,8 @@
     }
 
     fn seat(&self, server: &str) -> SeatView {
-        let seats = self.machine.windows().into_iter().flat_map(|w| w.seats);
-        seats.filter(|seat| seat.server == server).last().expect("a seat of that server")
+        let mut seats = self.machine.windows().into_iter().flat_map(|w| w.seats);
+        seats.rfind(|seat| seat.server == server).expect("a seat of that server")
     }
 
     /// Does what is due, except for what `stop` names.
