Add bindings: which key is warm at which process, aged out alike at every member

A pure crate: words on uses as a join semilattice, life in slots of wall-clock time, a floor under what a full table dropped, uses told only where others would else age them out, silence by the own monotonic clock, and a clear that waits for it. postcard is the form of the fleet's datagrams already, xxhash its hash.

--- /dev/null
+++ b/crates/bindings/src/hearing.rs
@@ -0,0 +1,61 @@
+//! Whether this member may still hear the others. Changes with when it must fall silent.
+//!
+//! The host says when this member is in contact: by its standing in the fleet, and never on what came late. From then on
+//! its bindings hold for the silence, on its own monotonic clock, which runs on while the process is stopped.
+
+use crate::Micros;
+
+/// When contact was last known.
+#[derive(Clone, Copy, Debug)]
+pub struct Hearing {
+    silence: Micros,
+    until: Option<Micros>,
+    sound: bool,
+}
+
+impl Hearing {
+    /// One that starts. It is `sound` where it founds the fleet; else only after its first contact, as it does not know
+    /// which processes left before it came.
+    pub fn new(silence: Micros, sound: bool) -> Self {
+        Self { silence, until: None, sound }
+    }
+
+    /// It is in contact with the others at that instant of its monotonic clock.
+    pub fn contact(&mut self, mono: Micros) {
+        self.until = self.until.max(Some(mono + self.silence));
+        self.sound = true;
+    }
+
+    /// It knows that it is out of contact.
+    pub fn parted(&mut self) {
+        self.until = None;
+    }
+
+    /// Whether bindings may be used at that instant.
+    pub fn hears(&self, mono: Micros) -> bool {
+        self.sound && self.until.is_some_and(|until| mono < until)
+    }
+
+    /// Whether what this member says is a sign of contact to others.
+    pub fn sound(&self) -> bool {
+        self.sound
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn it_hears_for_the_silence_after_a_contact_and_not_before_one() {
+        let mut hearing = Hearing::new(10, false);
+        assert!(!hearing.hears(0) && !hearing.sound());
+        hearing.contact(5);
+        assert!(hearing.hears(14) && !hearing.hears(15) && hearing.sound());
+        hearing.contact(20);
+        hearing.contact(18);
+        assert!(hearing.hears(29));
+        hearing.parted();
+        assert!(!hearing.hears(20));
+    }
+}
--- /dev/null
+++ b/crates/bindings/src/histories.rs
@@ -0,0 +1,244 @@
+//! Random histories of a few members, with loss, repeats, reordering, cuts, crashes, stops and skewed clocks. Changes with
+//! what can happen to members.
+
+mod checks;
+mod events;
+mod runs;
+
+use crate::exchange::TICK;
+use crate::guards::Guards;
+use crate::member::Bindings;
+use crate::section::BindingsSection;
+use crate::time::Times;
+use crate::word::Process;
+use crate::{Micros, mix};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+/// Where true time begins.
+const EPOCH: Micros = 1_900_000_000_000_000;
+const KEYS: u64 = 24;
+const PROCESSES: u64 = 3;
+/// Sends of a piece that is spread, with those by members that pass it on: at 30 % loss one in 10^15 is not reached.
+const SENDS: usize = 30;
+
+fn process(name: u64) -> Process {
+    Process { name, started: 7 }
+}
+
+struct Node {
+    bindings: Bindings,
+    life: u64,
+    offset: Micros,
+    stopped: bool,
+    booted: Micros,
+    /// When a sign of contact came from each other member, on the own monotonic clock.
+    heard: Vec<Option<Micros>>,
+    /// Since when nothing befell this member.
+    steady: Micros,
+    under_way: Vec<(Micros, Process)>,
+}
+
+/// When it arrives, its number, from whom, to whom, and the piece.
+type Datagram = (Micros, u64, usize, usize, Vec<u8>);
+
+struct World {
+    t: Micros,
+    times: Times,
+    guards: Guards,
+    capacity: usize,
+    rng: fastrand::Rng,
+    nodes: Vec<Node>,
+    net: BinaryHeap<Reverse<Datagram>>,
+    sent: u64,
+    loss: f64,
+    /// From whom to whom nothing passes.
+    cut: Vec<Vec<bool>>,
+    /// Since when something passes.
+    joined: Vec<Vec<Micros>>,
+    truth: checks::Truth,
+    /// The member that is asked whether the first process is clear, and since when it is.
+    asked: Option<usize>,
+    clear: Option<Micros>,
+}
+
+impl World {
+    fn new(seed: u64, members: usize, capacity: usize, guards: Guards) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let times = BindingsSection::default().times();
+        let loss = [0.0, 0.1, 0.3][rng.usize(..3)];
+        let mut world = Self {
+            t: EPOCH + rng.i64(0..times.slot),
+            times,
+            guards,
+            capacity,
+            nodes: Vec::new(),
+            net: BinaryHeap::new(),
+            sent: 0,
+            loss,
+            cut: vec![vec![false; members]; members],
+            joined: vec![vec![0; members]; members],
+            truth: checks::Truth::default(),
+            asked: None,
+            clear: None,
+            rng,
+        };
+        for i in 0..members {
+            // Two clocks differ by the skew at the most; one history in eight has one that is off by two seconds.
+            let half = times.skew / 2;
+            let off = i == 0 && world.rng.u8(..8) == 0;
+            let way = if world.rng.bool() { 2_000_000 } else { -2_000_000 };
+            let offset = if off { way } else { world.rng.i64(-half..=half) };
+            let node = world.boot(i, offset, true);
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    fn boot(&mut self, i: usize, offset: Micros, founds: bool) -> Node {
+        self.sent += 1;
+        let (members, life) = (self.cut.len(), self.sent);
+        let rates = BindingsSection::default().rates(members as u32);
+        let number = mix(i as u64, life);
+        let mut bindings = Bindings::new(self.t + offset, self.times, self.capacity, rates, number, founds);
+        (bindings.guards, bindings.telling.guards, bindings.table.guards) =
+            (self.guards, self.guards, self.guards);
+        let heard = vec![None; members];
+        let (booted, steady, under_way) = (self.t, self.t, Vec::new());
+        Node { bindings, life, offset, stopped: false, booted, heard, steady, under_way }
+    }
+
+    fn now(&self, i: usize) -> Micros {
+        self.t + self.nodes[i].offset
+    }
+
+    fn mono(&self, i: usize) -> Micros {
+        self.t - self.nodes[i].booted
+    }
+
+    /// A datagram leaves: it is lost, late, comes twice, or overtakes others.
+    fn send(&mut self, from: usize, to: usize, bytes: &[u8], sends: usize) {
+        let repeats = 1 + usize::from(self.rng.u8(..10) == 0);
+        let mut at = self.t;
+        let mut came = 0;
+        for _ in 0..sends {
+            if came < repeats && self.rng.f64() >= self.loss {
+                came += 1;
+                self.sent += 1;
+                let late = if self.rng.u8(..40) == 0 { self.rng.i64(0..20_000_000) } else { 0 };
+                let arrives = at + self.rng.i64(1000..100_000) + if came > 1 { late } else { 0 };
+                self.net.push(Reverse((arrives, self.sent, from, to, bytes.to_vec())));
+            }
+            at += 50_000;
+        }
+    }
+
+    fn step(&mut self) {
+        self.t += TICK;
+        self.befall();
+        // Who was stopped goes on with what it knew before it reads what waits for it.
+        self.check();
+        self.use_keys();
+        while self.net.peek().is_some_and(|Reverse((at, ..))| *at <= self.t)
+            && let Some(Reverse((_, _, from, to, bytes))) = self.net.pop()
+        {
+            self.arrive(from, to, &bytes);
+        }
+        self.check();
+        for i in 0..self.nodes.len() {
+            self.tick(i);
+        }
+        self.ask();
+    }
+
+    fn arrive(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        if self.nodes[to].stopped {
+            // It waits in the socket's buffer.
+            self.sent += 1;
+            self.net.push(Reverse((self.t + TICK, self.sent, from, to, bytes.to_vec())));
+            return;
+        }
+        if self.cut[from][to] {
+            return;
+        }
+        let (now, mono) = (self.now(to), self.mono(to));
+        let sign = self.nodes[to].bindings.hear(now, from as u64, bytes);
+        if sign == Ok(true) {
+            self.nodes[to].heard[from] = Some(mono);
+            // With itself, most of all members.
+            let mut heard: Vec<_> = self.nodes[to].heard.iter().flatten().copied().collect();
+            heard.sort_unstable_by_key(|at| Reverse(*at));
+            if let Some(at) = heard.get((self.nodes.len() / 2).max(1) - 1) {
+                self.nodes[to].bindings.contact(*at);
+            }
+        }
+    }
+
+    fn tick(&mut self, i: usize) {
+        if self.nodes[i].stopped {
+            return;
+        }
+        let (now, t) = (self.now(i), self.t);
+        let node = &mut self.nodes[i];
+        for (_, process) in node.under_way.extract_if(.., |(until, _)| *until <= t) {
+            node.bindings.under_way(process, false);
+        }
+        let told = self.nodes[i].bindings.tick(now);
+        for to in (0..self.nodes.len()).filter(|to| *to != i) {
+            told.spread.iter().for_each(|piece| self.send(i, to, piece, SENDS));
+            told.nearby.iter().for_each(|piece| self.send(i, to, piece, 1));
+        }
+        for (to, piece) in told.direct {
+            self.send(i, to as usize, &piece, 1);
+        }
+    }
+
+    /// Requests come in: each goes where its key is bound, or else where all would send it, or elsewhere.
+    fn use_keys(&mut self) {
+        for i in 0..self.nodes.len() {
+            if self.nodes[i].stopped || self.rng.u8(..4) > 0 {
+                continue;
+            }
+            let key = self.rng.u64(..KEYS);
+            let (now, mono) = (self.now(i), self.mono(i));
+            let bound = self.nodes[i].bindings.pick(now, mono, key, |_| true);
+            let at = bound.unwrap_or_else(|| process(mix(key, self.rng.u64(..2)) % PROCESSES));
+            if bound.is_some() {
+                let until = self.t + self.rng.i64(0..self.times.longest_use);
+                self.nodes[i].under_way.push((until, at));
+                self.nodes[i].bindings.under_way(at, true);
+            }
+            self.nodes[i].bindings.used(now, key, at);
+            // A use by a binding that is about to end is told too late: the spread, two clocks and a slot before.
+            let late = self.times.slot(now + 2 * self.times.skew) + self.times.spread + 2;
+            let in_time = self.nodes[i].bindings.table.at(key, at).is_some_and(|w| w.ends > late);
+            self.truth.used(self.t, self.times.slot(now), i, (key, at), bound.is_some() && in_time);
+        }
+    }
+
+    /// Whoever wants the first process away asks one member, again and again.
+    fn ask(&mut self) {
+        let Some(i) = self.asked.filter(|i| !self.nodes[*i].stopped) else { return };
+        let (mono, silence) = (self.mono(i), self.times.silence);
+        let heard = |node: &Node, j: usize| node.heard[j].is_some_and(|at| mono - at < silence);
+        let mut roster: Vec<u64> = vec![mix(i as u64, self.nodes[i].life)];
+        let others = (0..self.nodes.len()).filter(|j| *j != i && heard(&self.nodes[i], *j));
+        roster.extend(others.map(|j| mix(j as u64, self.nodes[j].life)));
+        if self.nodes[i].bindings.clear(mono, process(0), 0, &roster).clear {
+            self.clear = self.clear.or(Some(self.t));
+        }
+    }
+}
+
+/// What came of histories: how often each property was looked at, and the first breach.
+type Found = (HashMap<&'static str, u64>, Option<String>);
+
+fn play(seed: u64, guards: Guards, capacity: usize, seconds: i64) -> Found {
+    let members = 3 + (seed % 3) as usize;
+    let mut world = World::new(seed, members, capacity, guards);
+    while world.t < EPOCH + seconds * 1_000_000 && world.truth.breach.is_none() {
+        world.step();
+    }
+    world.settle();
+    (world.truth.looked, world.truth.breach)
+}
--- /dev/null
+++ b/crates/bindings/src/lib.rs
@@ -0,0 +1,55 @@
+//! Which key is warm at which endpoint process, the same at every member, and how that ages out.
+//!
+//! A *binding* is the note that a key is warm at one process of an endpoint. Members tell each other of uses in words that
+//! form a join semilattice: whatever is lost, repeated or reordered, the same words make the same table. What is gone
+//! follows from a word and the hour alone, so that a late word revives nothing. docs/bindings.md states the rules.
+//!
+//! - [`section`]: the `[bindings]` section of a product configuration.
+//! - [`time`]: slots that all members count alike.
+//! - [`word`]: processes, words on uses, and their merge for one key.
+//! - [`table`]: words on all keys, bounded.
+//! - [`phase`]: processes that leave or have come back, and who is clear of them.
+//! - [`hearing`]: whether this member may still hear the others.
+//! - [`telling`]: what is told, and when.
+//! - [`piece`]: what goes from member to member.
+//! - [`exchange`]: what members send each other and make of it.
+//! - [`report`]: what a member gives out.
+//! - [`member`]: all of it as one state machine without I/O and clock.
+//!
+//! Changes with which parts the crate has.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod exchange;
+mod guards;
+pub mod hearing;
+#[cfg(test)]
+mod histories;
+pub mod member;
+pub mod phase;
+pub mod piece;
+pub mod report;
+pub mod section;
+pub mod table;
+pub mod telling;
+pub mod time;
+pub mod word;
+
+pub use member::Bindings;
+pub use word::Process;
+
+/// Microseconds of Unix time on a member's own clock, of its monotonic clock, or a duration.
+pub type Micros = i64;
+
+/// The hash by which names, members and keys go over the wire: 64 bits of XXH3 (github.com/Cyan4973/xxHash, "XXH3").
+pub fn hash(name: &[u8]) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name)
+}
+
+/// A number that mixes two, the same at every member.
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&a.to_le_bytes());
+    bytes[8..].copy_from_slice(&b.to_le_bytes());
+    hash(&bytes)
+}
--- /dev/null
+++ b/crates/bindings/src/member.rs
@@ -0,0 +1,162 @@
+//! A member's bindings as one state machine without I/O and clock. Changes with what the host tells it and asks of it.
+
+use crate::Micros;
+use crate::guards::Guards;
+use crate::hearing::Hearing;
+use crate::phase::{NotBegun, Phase, Phases};
+use crate::report::{Census, Clear};
+use crate::table::{Rank, Table};
+use crate::telling::{Rates, Telling};
+use crate::time::{Slot, Times};
+use crate::word::{Process, Word};
+use std::cmp::Reverse;
+use std::collections::{HashMap, VecDeque};
+
+/// Pulses in which a member that starts asks for all bindings, until it is answered.
+const ASKS: u32 = 8;
+
+/// All that one member knows of bindings.
+#[derive(Clone, Debug)]
+pub struct Bindings {
+    pub(crate) times: Times,
+    pub(crate) member: u64,
+    pub(crate) table: Table,
+    pub(crate) telling: Telling,
+    pub(crate) phases: Phases,
+    pub(crate) hearing: Hearing,
+    /// Requests under way that may go by a binding, by process.
+    pub(crate) under_way: HashMap<Process, u32>,
+    /// Members that asked for all bindings, and how far their answers have come.
+    pub(crate) asked: VecDeque<(u64, Option<Rank>)>,
+    /// From then on what others sent is sure to be said after this member began.
+    pub(crate) begun: Micros,
+    pub(crate) asks: u32,
+    pub(crate) pulses_at: Micros,
+    pub(crate) slot: Slot,
+    pub(crate) turn: u64,
+    pub(crate) census: Census,
+    pub(crate) guards: Guards,
+}
+
+impl Bindings {
+    /// Those of a member by that number, one for each life of it, that begins now. One that `founds` the fleet asks nobody.
+    pub fn new(now: Micros, times: Times, keys: usize, rates: Rates, member: u64, founds: bool) -> Self {
+        Self {
+            table: Table::new(keys, member),
+            telling: Telling::new(rates, member),
+            phases: Phases::default(),
+            hearing: Hearing::new(times.silence, founds),
+            under_way: HashMap::new(),
+            asked: VecDeque::new(),
+            begun: now + times.skew,
+            asks: if founds { 0 } else { ASKS },
+            pulses_at: Micros::MIN,
+            slot: Slot::MIN,
+            turn: member,
+            census: Census::default(),
+            guards: Guards::ALL,
+            times,
+            member,
+        }
+    }
+
+    /// This member is in contact with the others at that instant of its monotonic clock.
+    pub fn contact(&mut self, mono: Micros) {
+        self.hearing.contact(mono);
+    }
+
+    /// It knows that it is not.
+    pub fn parted(&mut self) {
+        self.hearing.parted();
+    }
+
+    /// Where a key is bound, of the processes that may be used. None where this member may not hear the others.
+    pub fn pick(
+        &self,
+        now: Micros,
+        mono: Micros,
+        key: u64,
+        may: impl Fn(Process) -> bool,
+    ) -> Option<Process> {
+        let hears = self.hearing.hears(mono) || !self.guards.falls_silent;
+        let slot = self.times.slot(now);
+        let alive = |process: Process, word: Word| {
+            let moves = self.phases.moves(key, process, word.era, &self.times);
+            slot < word.ends && moves.is_none_or(|moves| slot < moves) && may(process)
+        };
+        if hears && self.phases.whole() { self.table.bound(key, alive) } else { None }
+    }
+
+    /// A request that was given a binding to that process begins, or ends for good.
+    pub fn under_way(&mut self, process: Process, begins: bool) {
+        let requests = self.under_way.entry(process).or_default();
+        *requests = if begins { requests.saturating_add(1) } else { requests.saturating_sub(1) };
+        if *requests == 0 {
+            self.under_way.remove(&process);
+        }
+    }
+
+    /// This member used a key at a process.
+    pub fn used(&mut self, now: Micros, key: u64, process: Process) {
+        if !self.phases.ended(process, self.phases.era(process)) {
+            let bound = self.table.at(key, process).is_some();
+            self.telling.used(key, process, self.times.slot(now), bound);
+        }
+    }
+
+    /// That process leaves: its epoch ends.
+    ///
+    /// # Errors
+    /// Why it cannot.
+    pub fn leaving(&mut self, now: Micros, process: Process, epoch: u64) -> Result<(), NotBegun> {
+        if self.phases.iter().any(|(p, phase)| p == process && phase.leaves && phase.epoch == epoch) {
+            return Ok(());
+        }
+        let since = Reverse(self.times.slot(now));
+        self.phases.merge(process, Phase { epoch, leaves: true, since })
+    }
+
+    /// It stays after all, or is back: that epoch, above the one that ended, opens.
+    ///
+    /// # Errors
+    /// Why it cannot.
+    pub fn stays(&mut self, now: Micros, process: Process, epoch: u64) -> Result<(), NotBegun> {
+        self.phases.merge(process, Phase { epoch, leaves: false, since: Reverse(self.times.slot(now)) })
+    }
+
+    /// How far it is clear, where `roster` are all members that are heard from. It is once all of them, this one too, are
+    /// clear of it and whoever is not heard has fallen silent by its own clock.
+    pub fn clear(&mut self, mono: Micros, process: Process, epoch: u64, roster: &[u64]) -> Clear {
+        let known = self.phases.iter().any(|(p, phase)| p == process && phase.epoch == epoch && phase.leaves);
+        let reported = self.phases.reported(process).filter(|_| known);
+        let (mine, reported) = (reported.clone().any(|m| m == self.member), reported.count());
+        let hears = self.hearing.hears(mono) || !self.guards.falls_silent;
+        let all = if hears && mine { self.phases.complete(process, epoch, mono, roster) } else { None };
+        let waits = if self.guards.waits_for_silence { self.times.clear_after() } else { 0 };
+        Clear { clear: all.is_some_and(|since| mono - since >= waits), known, mine, reported }
+    }
+
+    /// Forgets processes that left and are listed no more.
+    pub fn forget(&mut self, now: Micros, listed: impl Fn(Process) -> bool) {
+        self.phases.forget(self.times.slot(now), &self.times, listed);
+    }
+
+    /// All bindings, for whoever audits them: key, process, word.
+    pub fn dump(&self) -> impl Iterator<Item = (u64, Process, Word)> {
+        let words = |key| self.table.words(key).map(move |(process, word)| (key, process, word));
+        self.table.below(None).flat_map(move |rank| words(rank.2))
+    }
+
+    /// Figures for whoever watches.
+    pub fn census(&self, mono: Micros) -> Census {
+        Census {
+            keys: self.table.len(),
+            phases: self.phases.iter().count(),
+            waiting: self.telling.waiting(),
+            hears: self.hearing.hears(mono),
+            dropped: self.table.dropped,
+            untold: self.telling.dropped + self.census.untold,
+            ..self.census
+        }
+    }
+}
--- /dev/null
+++ b/crates/bindings/src/phase.rs
@@ -0,0 +1,201 @@
+//! Processes that leave or have come back, and who is clear of them. Changes with how a process is cleared.
+//!
+//! Each process has an epoch, 0 at first. `leaving` ends its epoch for good; where its leave is called off, the next one
+//! opens. Bindings belong to the epoch in which they were made and end with it.
+
+use crate::Micros;
+use crate::mix;
+use crate::time::{Slot, Times};
+use crate::word::Process;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Processes of which phases are known at the most: all of them, and what else must be, fits into each pulse.
+pub const MOST_PHASES: usize = 12;
+/// Members whose reports are kept for each of them: all of the largest fleet.
+const MOST_REPORTS: usize = 10_240;
+
+/// How far a process has come: the greater phase holds, fields compared in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Phase {
+    /// Its epoch.
+    pub epoch: u64,
+    /// That epoch has ended.
+    pub leaves: bool,
+    /// The slot in which it began; of two that were told the earlier one.
+    pub since: Reverse<Slot>,
+}
+
+/// Why no phase was begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotBegun {
+    /// Too many processes leave at a time.
+    TooMany,
+    /// That epoch is over.
+    Past,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    phase: Phase,
+    reported: BTreeSet<u64>,
+    complete: Option<Micros>,
+}
+
+/// The phases that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Phases {
+    known: BTreeMap<Process, State>,
+    /// Some phase was told that finds no room: what else left is not known here.
+    overflowed: bool,
+}
+
+impl Phases {
+    /// Begins a phase, or learns of it.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn merge(&mut self, process: Process, phase: Phase) -> Result<(), NotBegun> {
+        if let Some(state) = self.known.get_mut(&process) {
+            if (phase.epoch, phase.leaves) < (state.phase.epoch, state.phase.leaves) {
+                return Err(NotBegun::Past);
+            }
+            if (phase.epoch, phase.leaves) > (state.phase.epoch, state.phase.leaves) {
+                (state.reported, state.complete) = (BTreeSet::new(), None);
+            }
+            state.phase = state.phase.max(phase);
+            return Ok(());
+        }
+        if self.known.len() >= MOST_PHASES {
+            self.overflowed = true;
+            return Err(NotBegun::TooMany);
+        }
+        self.known.insert(process, State { phase, reported: BTreeSet::new(), complete: None });
+        Ok(())
+    }
+
+    /// Whether all that was told is known.
+    pub fn whole(&self) -> bool {
+        !self.overflowed
+    }
+
+    /// The epoch in which that process is bound now.
+    pub fn era(&self, process: Process) -> u64 {
+        self.known.get(&process).map_or(0, |s| s.phase.epoch)
+    }
+
+    /// Whether a word of that epoch has ended.
+    pub fn ended(&self, process: Process, era: u64) -> bool {
+        self.known
+            .get(&process)
+            .is_some_and(|s| era < s.phase.epoch || era == s.phase.epoch && s.phase.leaves)
+    }
+
+    /// From that slot on a key bound at that process in that epoch binds elsewhere; none where the process stays. Keys
+    /// are parted evenly over the time, the same at every member: few move at a time.
+    pub fn moves(&self, key: u64, process: Process, era: u64, times: &Times) -> Option<Slot> {
+        let phase = self.known.get(&process)?.phase;
+        match (era == phase.epoch && phase.leaves, self.ended(process, era)) {
+            (true, _) => {
+                let place = mix(key, process.name).rem_euclid(times.moving.unsigned_abs());
+                Some(phase.since.0.saturating_add(place.cast_signed()))
+            }
+            (false, true) => Some(Slot::MIN),
+            (false, false) => None,
+        }
+    }
+
+    /// All that are known.
+    pub fn iter(&self) -> impl Iterator<Item = (Process, Phase)> {
+        self.known.iter().map(|(process, state)| (*process, state.phase))
+    }
+
+    /// A member is clear of a process at an epoch. What is said of another epoch, or goes beyond the bound, is dropped.
+    pub fn report(&mut self, process: Process, epoch: u64, member: u64) {
+        if let Some(state) = self.known.get_mut(&process)
+            && state.phase.leaves
+            && state.phase.epoch == epoch
+            && state.reported.len() < MOST_REPORTS
+        {
+            state.reported.insert(member);
+        }
+    }
+
+    /// Members that are clear of a process in the epoch that it leaves.
+    pub fn reported(&self, process: Process) -> impl Iterator<Item = u64> + Clone {
+        self.known.get(&process).into_iter().flat_map(|s| s.reported.iter().copied())
+    }
+
+    /// Since when all these members are known to be clear of it at that epoch. Once all were, it stays so.
+    pub fn complete(&mut self, process: Process, epoch: u64, mono: Micros, roster: &[u64]) -> Option<Micros> {
+        let state = self.known.get_mut(&process).filter(|s| s.phase.epoch == epoch && s.phase.leaves)?;
+        if state.complete.is_none() && roster.iter().all(|member| state.reported.contains(member)) {
+            state.complete = Some(mono);
+        }
+        state.complete
+    }
+
+    /// Forgets processes that are not listed any more, once no word on them can be alive anywhere.
+    pub fn forget(&mut self, slot: Slot, times: &Times, listed: impl Fn(Process) -> bool) {
+        let long = times.remembered();
+        self.known.retain(|process, s| slot < s.phase.since.0.saturating_add(long) || listed(*process));
+        self.overflowed &= self.known.len() >= MOST_PHASES;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::section::BindingsSection;
+
+    const P: Process = Process { name: 1, started: 0 };
+
+    fn leaves(epoch: u64, since: Slot) -> Phase {
+        Phase { epoch, leaves: true, since: Reverse(since) }
+    }
+
+    #[test]
+    fn an_epoch_that_ended_stays_ended_and_the_next_one_opens() {
+        let mut phases = Phases::default();
+        assert!(!phases.ended(P, 0));
+        assert_eq!(phases.merge(P, leaves(0, 5)), Ok(()));
+        assert!(phases.ended(P, 0));
+        assert_eq!(phases.merge(P, Phase { epoch: 1, leaves: false, since: Reverse(9) }), Ok(()));
+        assert!(phases.ended(P, 0) && !phases.ended(P, 1));
+        assert_eq!(phases.merge(P, leaves(0, 5)), Err(NotBegun::Past));
+    }
+
+    #[test]
+    fn keys_move_evenly_and_all_of_them_in_time() {
+        let (mut phases, times) = (Phases::default(), BindingsSection::default().times());
+        phases.merge(P, leaves(0, 100)).expect("there is room");
+        let mut by_slot = BTreeMap::new();
+        for key in 0..4096 {
+            *by_slot.entry(phases.moves(key, P, 0, &times).expect("it leaves")).or_insert(0) += 1;
+        }
+        assert_eq!(by_slot.keys().next_back(), Some(&(99 + times.moving)));
+        let even = 4096 / times.moving;
+        assert!(by_slot.values().all(|n| *n < even * 3 / 2), "{by_slot:?}");
+    }
+
+    #[test]
+    fn a_clear_needs_a_report_of_each_and_more_phases_than_fit_are_owned_to() {
+        let mut phases = Phases::default();
+        phases.merge(P, leaves(3, 0)).expect("there is room");
+        phases.report(P, 3, 7);
+        phases.report(P, 2, 8);
+        assert_eq!(phases.complete(P, 3, 50, &[7, 8]), None);
+        phases.report(P, 3, 8);
+        assert_eq!(phases.complete(P, 3, 60, &[7, 8]), Some(60));
+        assert_eq!(phases.complete(P, 3, 70, &[7, 8, 9]), Some(60));
+        assert_eq!(phases.complete(P, 2, 70, &[]), None);
+        for name in 2..=MOST_PHASES as u64 {
+            assert!(phases.merge(Process { name, started: 0 }, leaves(0, 0)).is_ok());
+        }
+        assert!(phases.whole());
+        assert_eq!(phases.merge(Process { name: 99, started: 0 }, leaves(0, 0)), Err(NotBegun::TooMany));
+        assert!(!phases.whole());
+        phases.forget(1 << 40, &BindingsSection::default().times(), |_| false);
+        assert!(phases.whole() && phases.iter().next().is_none());
+    }
+}
--- /dev/null
+++ b/crates/bindings/src/telling.rs
@@ -0,0 +1,171 @@
+//! What is told, and when. Changes with how many words that takes.
+//!
+//! A use of what is bound is told only where the others would else age it out, by one of those that know of such a use. As
+//! nobody knows who else does, each waits a drawn time, exponentially so that few come first whatever their number (as for
+//! feedback of multicast: Nonnenmacher and Biersack, IEEE/ACM Transactions on Networking 7, 1999, p. 375); who hears the
+//! word meanwhile says nothing.
+
+use crate::guards::Guards;
+use crate::table::Table;
+use crate::time::{Slot, Times};
+use crate::word::{Process, Word};
+use crate::{Micros, mix};
+use std::collections::{HashMap, VecDeque};
+
+/// Words told at once: they fit into two pieces, were each on another process.
+const MOST_AT_ONCE: usize = 32;
+/// First uses that wait to be told; the one that waited longest makes room.
+const MOST_FRESH: usize = 1024;
+/// Seconds of its part of the words that a member may save up, and the least that this comes to.
+const SAVES: f64 = 4.0;
+const LEAST_SAVED: f64 = 16.0;
+
+/// What may be told of keys that are not bound yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Rates {
+    /// By all members together.
+    pub words_per_s: f64,
+    /// Members that are expected, two at the least.
+    pub members: f64,
+}
+
+/// Own uses that the others may need to be told of.
+#[derive(Clone, Debug)]
+pub struct Telling {
+    rates: Rates,
+    member: u64,
+    uses: HashMap<(u64, Process), Slot>,
+    fresh: VecDeque<(u64, Process, Slot)>,
+    tokens: f64,
+    filled: Micros,
+    /// First uses that were never told, as too many came.
+    pub dropped: u64,
+    pub(crate) guards: Guards,
+}
+
+impl Telling {
+    /// Nothing to tell yet.
+    pub fn new(rates: Rates, member: u64) -> Self {
+        let (uses, fresh) = (HashMap::new(), VecDeque::new());
+        let guards = Guards::ALL;
+        Self { rates, member, uses, fresh, tokens: LEAST_SAVED, filled: Micros::MAX, dropped: 0, guards }
+    }
+
+    /// This member used a key there, which is bound there already or not.
+    pub fn used(&mut self, key: u64, process: Process, slot: Slot, bound: bool) {
+        if bound {
+            self.uses.insert((key, process), slot);
+        } else if !self.fresh.iter().rev().take(64).any(|(k, p, _)| (*k, *p) == (key, process)) {
+            if self.fresh.len() >= MOST_FRESH {
+                self.fresh.pop_front();
+                self.dropped += 1;
+            }
+            self.fresh.push_back((key, process, slot));
+        }
+    }
+
+    /// When this member tells of a use on which the others know that word.
+    fn due(&self, key: u64, word: Word, times: &Times) -> Micros {
+        // With everybody before anybody's clock says that it ended.
+        let before = times.spread + times.slots(times.skew);
+        let latest = word.ends - before;
+        let over = ((times.life(word.held) - before) / 2).max(1) * times.slot;
+        let drawn = mix(mix(self.member, key), word.ends.cast_unsigned());
+        let uniform = (drawn >> 11) as f64 / (1u64 << 53) as f64;
+        let waits = (1.0 + uniform.max(f64::MIN_POSITIVE).ln() / self.rates.members.ln()).clamp(0.0, 1.0);
+        latest * times.slot - over + (waits * over as f64) as Micros
+    }
+
+    /// What is to be told at this instant.
+    pub fn due_now(
+        &mut self,
+        now: Micros,
+        table: &Table,
+        times: &Times,
+        era: impl Fn(Process) -> Option<u64>,
+    ) -> Vec<(u64, Process, Word)> {
+        let mut told = Vec::new();
+        let uses = std::mem::take(&mut self.uses);
+        self.uses.reserve(uses.len());
+        for ((key, process), last) in uses {
+            let known = table.at(key, process);
+            let Some((word, era)) = known.zip(era(process)) else { continue };
+            let mine = Word::of(last, era, true, times);
+            if mine <= word {
+                continue;
+            }
+            let due = now >= self.due(key, word, times) || !self.guards.tells_sparsely;
+            match due && self.guards.renews && told.len() < MOST_AT_ONCE {
+                true => told.push((key, process, mine)),
+                false => drop(self.uses.insert((key, process), last)),
+            }
+        }
+        let part = self.rates.words_per_s / self.rates.members;
+        let passed = now.saturating_sub(self.filled).max(0) as f64 / 1e6;
+        self.tokens = (self.tokens + passed * part).min((SAVES * part).max(LEAST_SAVED));
+        self.filled = now;
+        while self.tokens >= 1.0
+            && told.len() < MOST_AT_ONCE
+            && let Some((key, process, last)) = self.fresh.pop_front()
+        {
+            let Some(era) = era(process) else { continue };
+            // Another may have told of it meanwhile.
+            if table.at(key, process).is_some() {
+                self.uses.insert((key, process), last);
+                continue;
+            }
+            if times.slot(now) < last + times.life_new {
+                told.push((key, process, Word::of(last, era, false, times)));
+                self.tokens -= 1.0;
+            }
+        }
+        told
+    }
+
+    /// Uses that wait to be told.
+    pub fn waiting(&self) -> usize {
+        self.uses.len() + self.fresh.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::section::BindingsSection;
+
+    #[test]
+    fn of_any_number_that_used_a_key_few_tell_first_and_all_in_time() {
+        let times = BindingsSection::default().times();
+        let word = Word::of(1000, 0, true, &times);
+        let latest = (word.ends - times.spread) * times.slot;
+        for members in [2u32, 60, 1000, 10_000] {
+            let rates = BindingsSection::default().rates(members);
+            let first = |key| {
+                let due = |m| Telling::new(rates, mix(9, u64::from(m))).due(key, word, &times);
+                let mut dues: Vec<Micros> = (0..members).map(due).collect();
+                dues.sort_unstable();
+                assert!(dues.last().is_some_and(|last| *last <= latest));
+                // Until the first word is everywhere, half a second later.
+                dues.iter().filter(|due| **due <= dues[0] + 500_000).count()
+            };
+            let mean = (0..20).map(first).sum::<usize>() as f64 / 20.0;
+            assert!(mean < 6.0, "{members} members: {mean}");
+        }
+    }
+
+    #[test]
+    fn a_use_that_others_would_not_age_out_is_not_told_and_first_uses_are_rationed() {
+        let times = BindingsSection::default().times();
+        let mut telling = Telling::new(Rates { words_per_s: 10.0, members: 10.0 }, 1);
+        let (mut table, process) = (Table::new(10, 0), Process { name: 1, started: 0 });
+        table.merge(7, process, Word::of(100, 0, true, &times));
+        telling.used(7, process, 101, true);
+        (0..100).for_each(|key| telling.used(1000 + key, process, 101, false));
+        let now = 101 * times.slot;
+        let told = telling.due_now(now, &table, &times, |_| Some(0));
+        assert_eq!((told.len(), told.iter().any(|(key, ..)| *key == 7)), (LEAST_SAVED as usize, false));
+        let latest = (100 + times.life_held - times.spread - 1) * times.slot;
+        let told = telling.due_now(latest, &table, &times, |_| Some(0));
+        assert!(told.contains(&(7, process, Word::of(101, 0, true, &times))), "{told:?}");
+    }
+}
--- /dev/null
+++ b/crates/bindings/src/time.rs
@@ -0,0 +1,71 @@
+//! Slots of wall-clock time. Changes with how members count time alike.
+
+use crate::Micros;
+
+/// The how-manieth slot of Unix time.
+pub type Slot = i64;
+
+/// Times of a binding, in slots of wall-clock time and in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// Length of a slot in microseconds.
+    pub slot: Micros,
+    /// Slots from the last use for which a key met once is bound.
+    pub life_new: Slot,
+    /// Slots from the last use for which a key met again is bound.
+    pub life_held: Slot,
+    /// Slots that a word needs to be with everybody who hears.
+    pub spread: Slot,
+    /// Slots over which the keys of a process that leaves move.
+    pub moving: Slot,
+    /// How far members' clocks may be off from each other, in microseconds.
+    pub skew: Micros,
+    /// Time on the own monotonic clock after which a member that heard nobody uses no binding.
+    pub silence: Micros,
+    /// Age from which what came is no sign that its sender is heard.
+    pub late: Micros,
+    /// Longest time from the pick of a binding to the end of its request.
+    pub longest_use: Micros,
+}
+
+impl Times {
+    /// The slot of an instant.
+    pub fn slot(&self, now: Micros) -> Slot {
+        now.div_euclid(self.slot)
+    }
+
+    /// Slots that cover a time.
+    pub fn slots(&self, time: Micros) -> Slot {
+        time.div_euclid(self.slot) + i64::from(time.rem_euclid(self.slot) != 0)
+    }
+
+    /// How long a binding lives from its last use.
+    pub fn life(&self, held: bool) -> Slot {
+        if held { self.life_held } else { self.life_new }
+    }
+
+    /// Time on the asked member's monotonic clock from when it knew that everybody heard is clear to when whoever is not
+    /// heard is silent, its last request ended: the silence, the age of what was last heard, two clocks that are off
+    /// either way, the longest use.
+    pub fn clear_after(&self) -> Micros {
+        self.silence + self.late + 2 * self.skew + self.longest_use
+    }
+
+    /// Slots for which it is remembered that a process left: until no word on it can be alive at any member.
+    pub fn remembered(&self) -> Slot {
+        let longest = self.slots(self.clear_after()) + self.moving + self.life_new.max(self.life_held);
+        2 * longest
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::section::BindingsSection;
+
+    #[test]
+    fn slots_are_counted_from_the_epoch_either_way_and_a_part_of_one_is_one() {
+        let t = BindingsSection::default().times();
+        assert_eq!((t.slot(0), t.slot(t.slot - 1), t.slot(t.slot), t.slot(-1)), (0, 0, 1, -1));
+        assert_eq!((t.slots(0), t.slots(1), t.slots(t.slot), t.slots(t.slot + 1)), (0, 1, 1, 2));
+    }
+}
--- /dev/null
+++ b/crates/bindings/src/word.rs
@@ -0,0 +1,143 @@
+//! Processes, words on uses, and their merge for one key. Changes with what a word says.
+
+use crate::mix;
+use crate::time::{Slot, Times};
+
+/// A process of an endpoint: never an address, and another one after each start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Process {
+    /// Hash of the endpoint's name.
+    pub name: u64,
+    /// When it started, in milliseconds of Unix time as listed; 0 where that is not known.
+    pub started: i64,
+}
+
+/// The last use of a key at a process that all members were told of. Of two words on the same key and process the greater
+/// one holds: fields are compared in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Word {
+    /// The first slot in which that use is past its life: then it counts as never made. The word that lives longest holds,
+    /// so that what it replaces cannot outlive it.
+    pub ends: Slot,
+    /// The epoch of the process in which it was used; see [`crate::phase`].
+    pub era: u64,
+    /// The key was met there before.
+    pub held: bool,
+}
+
+impl Word {
+    /// That of a use in a slot.
+    pub fn of(last: Slot, era: u64, held: bool, times: &Times) -> Self {
+        Self { ends: last + times.life(held), era, held }
+    }
+
+    /// The slot of the use.
+    pub fn last(&self, times: &Times) -> Slot {
+        self.ends.saturating_sub(times.life(self.held))
+    }
+}
+
+/// Processes at which one key is remembered: where two are bound at once, both until one ages out.
+pub const MOST_PLACES: usize = 2;
+
+/// Words on one key. The merge takes the greater word of each process and keeps the greatest ones: idempotent,
+/// commutative and associative, as a process that is left out has no part in what is kept.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Places(Vec<(Word, Process)>);
+
+impl Places {
+    /// Takes a word in; whether that changed anything.
+    pub fn merge(&mut self, process: Process, word: Word) -> bool {
+        match self.0.iter_mut().find(|(_, p)| *p == process) {
+            Some((held, _)) if *held >= word => return false,
+            Some((held, _)) => *held = word,
+            None => self.0.push((word, process)),
+        }
+        // By the same order as the words of one process: else one that was left out would have a part in what is kept.
+        self.0.sort_by_key(|place| std::cmp::Reverse(*place));
+        let dropped = self.0.len() > MOST_PLACES && self.0[MOST_PLACES..].contains(&(word, process));
+        self.0.truncate(MOST_PLACES);
+        !dropped
+    }
+
+    /// Keeps those only.
+    pub fn retain(&mut self, keep: impl Fn(&Word, &Process) -> bool) {
+        self.0.retain(|(word, process)| keep(word, process));
+    }
+
+    /// The word on that process.
+    pub fn at(&self, process: Process) -> Option<Word> {
+        self.0.iter().find(|(_, p)| *p == process).map(|(word, _)| *word)
+    }
+
+    /// All, the one that ends last first.
+    pub fn iter(&self) -> impl Iterator<Item = (Process, Word)> {
+        self.0.iter().map(|(word, process)| (*process, *word))
+    }
+
+    /// The slot in which all are past their lives.
+    pub fn ends(&self) -> Option<Slot> {
+        self.0.first().map(|(word, _)| word.ends)
+    }
+
+    /// The place at which the key is bound, of those that may be used: one that it was met at again, then one drawn by
+    /// the key, the same at every member.
+    pub fn bound(&self, key: u64, may: impl Fn(Process, Word) -> bool) -> Option<Process> {
+        let rank = |(p, w): &(Process, Word)| (w.held, mix(key, mix(p.name, p.started.unsigned_abs())));
+        self.iter()
+            .filter(|(process, word)| may(*process, *word))
+            .max_by_key(rank)
+            .map(|(process, _)| process)
+    }
+
+    /// No place is left.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn of(words: &[(Process, Word)]) -> Places {
+        let mut places = Places::default();
+        words.iter().for_each(|(process, word)| {
+            places.merge(*process, *word);
+        });
+        places
+    }
+
+    prop_compose! {
+        fn any_word()(name in 0..4u64, era in 0..2u64, ends in 0..6i64, held: bool) -> (Process, Word) {
+            (Process { name, started: 0 }, Word { era, ends, held })
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn the_same_words_make_the_same_places_in_any_order_and_however_often(
+            words in prop::collection::vec(any_word(), 0..12), again in 0..12usize, turn in 0..12usize,
+        ) {
+            let mut others = words.clone();
+            others.extend(words.iter().take(again));
+            let turn = turn % others.len().max(1);
+            others.rotate_left(turn);
+            others.reverse();
+            prop_assert_eq!(of(&words), of(&others));
+        }
+    }
+
+    #[test]
+    fn a_key_bound_twice_has_one_winner_and_one_met_again_wins() {
+        let (a, b) = (Process { name: 1, started: 0 }, Process { name: 2, started: 0 });
+        let word = |ends, held| Word { era: 0, ends, held };
+        let places = of(&[(a, word(5, true)), (b, word(9, false))]);
+        assert_eq!(places.bound(3, |_, _| true), Some(a));
+        assert_eq!(places.bound(3, |p, _| p != a), Some(b));
+        let both = of(&[(a, word(5, true)), (b, word(9, true))]);
+        let turned = of(&[(b, word(9, true)), (a, word(5, true))]);
+        assert_eq!(both.bound(3, |_, _| true), turned.bound(3, |_, _| true));
+    }
+}
