Call back what a list has dropped, and no dead server instead of one that serves

Found by reading: a dead server that drained counted as called back for the floor, so one that serves went on draining; a server that the list no longer names was neither taken nor called back; a new agreement without its calendar called back all. Time that leaps back by more than evidence lives leaves no evidence believed.

--- a/crates/maintenance/src/callback.rs
+++ b/crates/maintenance/src/callback.rs
@@ -2,14 +2,16 @@
 
 use crate::agreement::Agreement;
 use crate::machine::Machine;
+use crate::view::Why;
 use crate::window::State;
 
 impl Machine {
     /// Calls back what drains and was not taken, one after another, until the limits would hold with what was called
     /// back: lowest class first; of those a server that drains before one that is clear; then the latest grant. Of a
-    /// window that can't be split all go with the first. Whose return would help no broken limit stays.
+    /// window that can't be split all go with the first. Whose return would help no broken limit, as it is known
+    /// to be dead or counts under none, stays as it is; one that is not heard of is called, and not counted on.
     pub(crate) fn call_back(&mut self, agreement: &Agreement) {
-        if self.blacked_out(agreement, self.at_ms, self.at_ms.saturating_add(1)) {
+        if self.in_blackout() {
             for (id, index) in self.not_taken(|_| true) {
                 self.send_back(id, index, State::CalledBack, "a blackout began");
             }
@@ -17,10 +19,14 @@
         }
         let mut calls: Vec<(u64, usize)> = Vec::new();
         let mut ledger = self.ledger(agreement, self.at_ms);
-        // What is on its way back already counts as if it were there.
+        let serves = |name: &str| {
+            let known = self.servers.get(name)?;
+            known.missing(self.at_ms, agreement.evidence_bound_ms).is_none().then_some(known)
+        };
+        // What is on its way back already counts as if it were there, if it serves.
         for window in self.windows.values() {
             for seat in window.seats.iter().filter(|seat| seat.state == State::CalledBack && !seat.late) {
-                if let Some(known) = self.servers.get(&seat.server) {
+                if let Some(known) = serves(&seat.server) {
                     ledger.credit(&seat.server, known);
                 }
             }
@@ -37,11 +43,13 @@
             let Some(window) = self.windows.get(&id).filter(|_| !calls.contains(&(id, index))) else {
                 continue;
             };
-            let Some(known) = self.servers.get(&window.seats[index].server) else { continue };
-            let helps = ledger.crowded() || {
+            let server = window.seats[index].server.as_str();
+            // A list may drop what drains; nobody knows then which limits the server would help.
+            let helps = self.servers.get(server).map_or(!ledger.holds(), |known| {
+                let dead = known.missing(self.at_ms, agreement.evidence_bound_ms) == Some(Why::Sick);
                 let touched: Vec<usize> = ledger.shape.of(known).collect();
-                ledger.broken().any(|number| touched.contains(&number))
-            };
+                !dead && (ledger.crowded() || ledger.broken().any(|number| touched.contains(&number)))
+            });
             if !helps {
                 continue;
             }
@@ -51,7 +59,7 @@
                     continue;
                 }
                 calls.push((id, other));
-                if let Some(known) = self.servers.get(&seat.server) {
+                if let Some(known) = serves(&seat.server) {
                     ledger.credit(&seat.server, known);
                 }
             }
--- a/crates/maintenance/src/grant.rs
+++ b/crates/maintenance/src/grant.rs
@@ -17,9 +17,16 @@
         until_ms > self.calendar.until_ms || spans.get(after).is_some_and(|span| span.from_ms < until_ms)
     }
 
-    /// Whether the limits that a server counts under hold.
+    /// Whether a blackout is on that is known.
+    pub(crate) fn in_blackout(&self) -> bool {
+        let after = self.calendar.spans.partition_point(|span| span.until_ms <= self.at_ms);
+        self.calendar.spans.get(after).is_some_and(|span| span.from_ms <= self.at_ms)
+    }
+
+    /// Whether the limits that a server counts under hold; all of them where the list does not name it any more, as
+    /// lists may drop what drains.
     pub(crate) fn holds_for(&self, ledger: &Ledger<'_>, server: &str) -> bool {
-        let Some(known) = self.servers.get(server) else { return false };
+        let Some(known) = self.servers.get(server) else { return ledger.holds() };
         let touched: Vec<usize> = ledger.shape.of(known).collect();
         !ledger.crowded() && !ledger.broken().any(|number| touched.contains(&number))
     }
--- a/crates/maintenance/src/machine.rs
+++ b/crates/maintenance/src/machine.rs
@@ -48,8 +48,16 @@
     }
 
     /// Takes the next agreed event. `at_ms` is its proposer's clock, in milliseconds of Unix time; one that lies
-    /// before the last event's counts as that.
+    /// before the last event's counts as that. If it lies before it by more than evidence lives, one of the two
+    /// clocks was wrong, and no evidence is believed before time goes on.
     pub fn apply(&mut self, at_ms: i64, event: Event) -> Outcome {
+        let bound_ms = self.agreement.as_ref().map_or(i64::MAX, |agreement| agreement.evidence_bound_ms);
+        let event = if self.at_ms.saturating_sub(at_ms) > bound_ms {
+            self.servers.values_mut().for_each(|known| known.seen = None);
+            if let Event::Evidence(_) = event { Event::Tick } else { event }
+        } else {
+            event
+        };
         self.at_ms = self.at_ms.max(at_ms.clamp(0, LAST_MS));
         let outcome = match event {
             Event::Ask(request) => self.ask(request),
--- a/crates/maintenance/src/servers.rs
+++ b/crates/maintenance/src/servers.rs
@@ -1,5 +1,7 @@
 //! Changes with what counts as evidence that a server is there.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::agreement::Invalid;
@@ -88,6 +90,8 @@
         if self.servers == before {
             return Outcome::Ignored;
         }
+        let zones: BTreeSet<&str> = self.servers.values().map(|known| known.zone.as_str()).collect();
+        self.turns.retain(|zone, _| zones.contains(zone.as_str()));
         self.changed = true;
         Outcome::Taken
     }
