Let members conclude where they stand: whole, disputed, cut, alone or unwell

The fleet could not tell a cut from deaths: membership misses the members of a cut zone one by one after seven seconds, and nothing says which side one is on. Members now keep stamps of which zone heard which, told in a view to two others a second (news that go anyway take it along); a zone that is doubted is asked by foca's own pings, which old versions answer, and is lost after 2.6 s and 20 probes without answer. Views are compared by a digest of 32 parts. Own late timers come first (Lifeguard). A roster keeps how members left, finds two processes of one name, and quarantines those that fail again and again. Off without `[fleet.standing]`: then nothing is sent and every member is whole, as today.

--- a/crates/fleet/src/carrier.rs
+++ b/crates/fleet/src/carrier.rs
@@ -169,6 +169,12 @@
         Ok(self.sequence)
     }
 
+    /// The number of the last piece of this member's life.
+    pub fn last(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
     /// The highest number that this member gave.
     pub fn given(&self) -> u64 {
         self.sequence
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -8,6 +8,7 @@
 mod membership;
 mod news;
 mod report;
+mod standing;
 mod witness;
 
 use crate::carrier::Carrier;
@@ -17,7 +18,10 @@
 use crate::evidence::{Process, Table};
 use crate::frame::Dropped;
 use crate::member::Member;
+use crate::roster::Roster;
 use crate::section::{FleetSection, micros};
+use crate::standing_views::Digest;
+use crate::standing_watch::Watch;
 use crate::tokens::Tokens;
 use crate::verdict::Weights;
 use crate::{Micros, SECOND, hash};
@@ -84,6 +88,15 @@
     overslept_until: Micros,
     resting: BTreeMap<usize, Resting>,
     news: VecDeque<News>,
+    stands: bool,
+    watch: Watch,
+    roster: Roster,
+    version: String,
+    list_seen: Option<Micros>,
+    digest: Option<Digest>,
+    next_view: Micros,
+    views_due: u8,
+    asked: u8,
     carrier: Carrier,
     effects: Effects,
     counts: Counts,
@@ -139,6 +152,15 @@
             overslept_until: Micros::MIN,
             resting: BTreeMap::new(),
             news: VecDeque::new(),
+            stands: section.standing.enabled,
+            watch: Watch::new(now),
+            roster: Roster::default(),
+            version: String::new(),
+            list_seen: None,
+            digest: None,
+            next_view: now,
+            views_due: 0,
+            asked: 0,
             carrier: Carrier::new(now),
             effects: Effects::default(),
             counts: Counts::default(),
@@ -167,6 +189,9 @@
 
     /// Time has come.
     pub fn tick(&mut self, now: Micros) {
+        if self.stands {
+            self.watch.woke(now, self.next());
+        }
         while let Some((&(at, number), _)) = self.timers.first_key_value()
             && at <= now
         {
@@ -186,11 +211,13 @@
         if now >= self.next_ask && !self.seeds.is_empty() {
             self.ask_seeds(now);
         }
+        self.stand(now);
         if self.verdicts {
             self.look_at_all(now);
             self.ask(now);
         }
         self.gossip(now);
+        self.tell_views(now);
         let asks = self.verdicts && self.asks.0 > 0 && !self.drawn.is_empty();
         if asks || !self.news.is_empty() || !self.carrier.is_empty() || !self.resting.is_empty() {
             self.wake(now);
--- a/crates/fleet/src/core/carry.rs
+++ b/crates/fleet/src/core/carry.rs
@@ -1,11 +1,11 @@
 //! Carries pieces of other crates' data. Changes with who may have what carried, and who is told.
 
-use super::Core;
 use super::news::SENDS;
+use super::{Core, FANOUT};
 use crate::Micros;
 use crate::carrier::{BOUND, Came, Letter, NotCarried};
 use crate::effects::Carried;
-use crate::frame::{self, Content, Dropped, Head, Piece};
+use crate::frame::{self, Content, Dropped, FAREWELL, Head, Piece};
 use rand::RngExt;
 use std::net::SocketAddr;
 
@@ -63,6 +63,21 @@
         self.wake(now);
     }
 
+    /// Says to some that it leaves; they pass it on.
+    pub(super) fn farewell(&mut self, now: Micros) {
+        let (origin, incarnation, sequence) = (self.origin, self.me.incarnation, self.carrier.last());
+        let letter = Letter { origin, incarnation, sequence, said: now, spreads: true, body: &[] };
+        let Ok(letter) = postcard::to_stdvec(&letter) else { return };
+        for to in self.neighbours(2 * FANOUT) {
+            let to = self.by_origin.get(&to).copied();
+            let mut frame = frame::begin(&Head { cluster: &self.cluster, sent: now, content: Content::News });
+            if let Some(to) = to.filter(|_| frame::add(&mut frame, &Piece { kind: FAREWELL, bytes: &letter }))
+            {
+                self.send(to, frame);
+            }
+        }
+    }
+
     /// A carried piece came from there, a member.
     pub(super) fn carried(&mut self, now: Micros, from: SocketAddr, kind: u8, bytes: &[u8]) {
         let Ok(letter) = postcard::from_bytes::<Letter<'_>>(bytes) else {
@@ -92,13 +107,17 @@
             Came::Full => return self.drop_one(Dropped::Full),
             Came::New => {}
         }
-        self.counts.handed_out += 1;
-        self.effects.carried.push(Carried {
-            origin: letter.origin,
-            incarnation: letter.incarnation,
-            kind,
-            bytes: letter.body.to_vec(),
-        });
+        if kind == FAREWELL {
+            self.roster.said_so(letter.origin, letter.incarnation);
+        } else {
+            self.counts.handed_out += 1;
+            self.effects.carried.push(Carried {
+                origin: letter.origin,
+                incarnation: letter.incarnation,
+                kind,
+                bytes: letter.body.to_vec(),
+            });
+        }
         if letter.spreads {
             self.keep_carrying(now, kind, bytes.to_vec(), letter.said);
         }
--- a/crates/fleet/src/core/inbound.rs
+++ b/crates/fleet/src/core/inbound.rs
@@ -4,7 +4,7 @@
 use crate::Micros;
 use crate::carrier::CARRIED;
 use crate::evidence::Datum;
-use crate::frame::{self, ASK, Content, Dropped, EVIDENCE, Piece};
+use crate::frame::{self, ASK, Content, Dropped, EVIDENCE, FAREWELL, Piece, VIEW};
 use std::net::SocketAddr;
 
 impl Core {
@@ -22,13 +22,14 @@
         match head.content {
             Content::Membership => self.membership(now, from, content),
             Content::News => {
+                let Some(zone) = self.members.get(&from).map(|known| known.zone) else {
+                    return self.drop_one(Dropped::Unknown);
+                };
+                self.hears(now, zone, false);
                 let late = now.saturating_sub(head.sent);
                 if late < -self.skew || late > self.skew + UNDER_WAY {
                     return self.drop_one(Dropped::Clock);
                 }
-                if !self.members.contains_key(&from) {
-                    return self.drop_one(Dropped::Unknown);
-                }
                 for piece in frame::pieces(content) {
                     match piece {
                         Ok(Piece { kind: EVIDENCE, bytes }) => match postcard::from_bytes::<Datum>(bytes) {
@@ -36,6 +37,8 @@
                             Err(_) => self.drop_one(Dropped::Malformed),
                         },
                         Ok(Piece { kind: ASK, .. }) => self.answer(now, from),
+                        Ok(Piece { kind: VIEW, bytes }) => self.viewed(now, head.sent, from, bytes),
+                        Ok(Piece { kind: FAREWELL, bytes }) => self.carried(now, from, FAREWELL, bytes),
                         Ok(Piece { kind, bytes }) if CARRIED.contains(&kind) => {
                             self.carried(now, from, kind, bytes);
                         }
--- a/crates/fleet/src/core/judge.rs
+++ b/crates/fleet/src/core/judge.rs
@@ -4,6 +4,7 @@
 use crate::Micros;
 use crate::effects::Word;
 use crate::evidence::{Datum, Process, Sign};
+use crate::standing::Trials;
 use crate::trial::{Slot, chosen, slot};
 use crate::verdict::{Rest, Weighed, weigh};
 
@@ -31,7 +32,7 @@
             }
             // Only who is a member now, and in the zone that it speaks for.
             let known = self.by_origin.get(&d.origin).and_then(|address| self.members.get(address));
-            known.is_some_and(|k| k.zone == d.zone) && !doubted(d.origin)
+            known.is_some_and(|k| k.zone == d.zone) && !doubted(d.origin) && !self.quarantined(now, d.origin)
         };
         let members = |zone: u64| self.in_zone.get(&zone).copied().unwrap_or(0);
         weigh(self.table.of(process), now, self.zone, rests, &self.weights, counts, members)
@@ -58,8 +59,11 @@
             (None, was) => was.map_or(none, |r| r.chosen),
             (Some(slot), Some(r)) if r.chosen.0 == slot => r.chosen,
             (Some(slot), _) => {
-                let others =
-                    self.members.values().filter(|k| weighed.zones.contains(&k.zone)).map(|k| k.origin);
+                let others = self
+                    .members
+                    .values()
+                    .filter(|k| weighed.zones.contains(&k.zone) && self.tries(now, k.origin, k.zone))
+                    .map(|k| k.origin);
                 (slot, chosen(process, slot, others.chain(std::iter::once(self.origin))))
             }
         };
@@ -69,7 +73,10 @@
             let untried = weighed.newest.is_none_or(|(_, seen)| seen < slot.from);
             let mine = |n: usize| chosen.1[n] == Some(self.origin);
             let own = self.own.get(&process).map_or(Micros::MIN, |own| own.at);
-            own < slot.from && untried && (mine(0) || (late && mine(1)))
+            self.standing().kind.may().trials != Trials::None
+                && own < slot.from
+                && untried
+                && (mine(0) || (late && mine(1)))
         });
         let rest = if trial { Rest::Trial } else { Rest::Yes };
         let until = weighed.until;
--- a/crates/fleet/src/core/membership.rs
+++ b/crates/fleet/src/core/membership.rs
@@ -1,11 +1,12 @@
 //! Who runs: foca's membership, carried out. Changes with how members are found, missed and taken back.
 
 use super::{Core, FANOUT};
+use crate::effects::Note;
 use crate::frame::{self, Content, Dropped, Head, LONGEST};
 use crate::member::Member;
 use crate::section::FleetSection;
 use crate::{Micros, SECOND, hash};
-use foca::{Header, OwnedNotification};
+use foca::{Header, Message, OwnedNotification};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroU32, NonZeroUsize};
@@ -47,7 +48,11 @@
     pub(super) fn membership(&mut self, now: Micros, from: SocketAddr, content: &[u8]) {
         // Whoever speaks is who it says it is: else one could speak for all.
         match postcard::take_from_bytes::<Header<Member>>(content) {
-            Ok((header, _)) if header.src.address == from => {}
+            Ok((header, _)) if header.src.address == from => {
+                if !header.src.name.is_empty() {
+                    self.hears(now, hash(&header.src.zone), matches!(header.message, Message::Ack(_)));
+                }
+            }
             Ok(_) => return self.drop_one(Dropped::Unknown),
             Err(_) => return self.drop_one(Dropped::Malformed),
         }
@@ -73,7 +78,7 @@
         while let Some(told) = self.runtime.to_notify() {
             match told {
                 OwnedNotification::MemberUp(member) => self.up(now, member),
-                OwnedNotification::MemberDown(member) => self.down(&member.address),
+                OwnedNotification::MemberDown(member) => self.missed(now, &member.address),
                 OwnedNotification::Rename(old, new) => {
                     if self.members.contains_key(&old.address) {
                         self.up(now, new);
@@ -87,6 +92,11 @@
 
     pub(super) fn up(&mut self, now: Micros, member: Member) {
         self.down(&member.address);
+        self.digest = None;
+        let counts = self.says() && self.stands;
+        if self.roster.up(now, &member, counts) {
+            self.effects.notes.push(Note::Quarantined { name: member.name.clone() });
+        }
         let (address, origin, zone) = (member.address, hash(&member.name), hash(&member.zone));
         self.members.insert(address, Known { member, origin, zone, since: now });
         self.drawn.push(address);
@@ -94,8 +104,20 @@
         *self.in_zone.entry(zone).or_default() += 1;
     }
 
-    pub(super) fn down(&mut self, address: &SocketAddr) {
+    /// That one does not run any more.
+    fn missed(&mut self, now: Micros, address: &SocketAddr) {
+        if let Some(known) = self.members.get(address) {
+            let how = self.left_how(known.zone);
+            if self.roster.down(now, &known.member, how) && self.stands {
+                self.effects.notes.push(Note::Quarantined { name: known.member.name.clone() });
+            }
+        }
+        self.down(address);
+    }
+
+    fn down(&mut self, address: &SocketAddr) {
         let Some(known) = self.members.remove(address) else { return };
+        self.digest = None;
         self.drawn.retain(|a| a != address);
         if self.by_origin.get(&known.origin) == Some(address) {
             self.by_origin.remove(&known.origin);
@@ -127,6 +149,9 @@
 
     /// Tells others that this member leaves.
     pub fn leave(&mut self, now: Micros) {
+        if self.stands {
+            self.farewell(now);
+        }
         let _ = self.foca.leave_cluster(&mut self.runtime);
         self.follow(now);
     }
--- a/crates/fleet/src/core/news.rs
+++ b/crates/fleet/src/core/news.rs
@@ -7,7 +7,7 @@
 use super::{Core, FANOUT, TICK};
 use crate::Micros;
 use crate::evidence::Datum;
-use crate::frame::{self, Content, Dropped, EVIDENCE, Head, Piece};
+use crate::frame::{self, Content, Dropped, EVIDENCE, Head, Piece, VIEW};
 use rand::RngExt;
 use std::cmp::Reverse;
 
@@ -54,6 +54,9 @@
             let head = Head { cluster: &self.cluster, sent: now, content: Content::News };
             let mut bytes = frame::begin(&head);
             let mut any = false;
+            if let Some(view) = self.view_due(now) {
+                any = frame::add(&mut bytes, &Piece { kind: VIEW, bytes: &view });
+            }
             for news in self.news.iter_mut().filter(|n| n.left > 0) {
                 let Ok(datum) = postcard::to_stdvec(&news.datum) else { continue };
                 if !frame::add(&mut bytes, &Piece { kind: EVIDENCE, bytes: &datum }) {
--- a/crates/fleet/src/core/witness.rs
+++ b/crates/fleet/src/core/witness.rs
@@ -20,6 +20,8 @@
     pub(super) sign: Sign,
     pub(super) at: Micros,
     pub(super) said: Option<(Sign, Micros)>,
+    /// When it last served this member.
+    pub(super) served: Option<Micros>,
 }
 
 impl Core {
@@ -53,8 +55,11 @@
         if now < self.overslept_until {
             return;
         }
-        let own = self.own.entry(process).or_insert(Own { sign, at: now, said: None });
+        let own = self.own.entry(process).or_insert(Own { sign, at: now, said: None, served: None });
         (own.sign, own.at) = (sign, now);
+        if sign == Sign::Well {
+            own.served = Some(now);
+        }
         let said = own.said.is_some_and(|(what, at)| what == sign && now - at < self.weights.rest);
         let resting = self.resting.contains_key(&endpoint);
         let fresh = |d: &&Datum| now - d.seen < self.weights.bound;
@@ -77,6 +82,7 @@
         };
         if said
             || !worth_saying
+            || !self.says()
             || (sign == Sign::Sick && self.doubts_itself(now))
             || !self.tokens.take(now, OWN_RATE, OWN_BURST)
         {
--- a/crates/fleet/src/effects.rs
+++ b/crates/fleet/src/effects.rs
@@ -2,6 +2,7 @@
 
 use crate::Micros;
 use crate::frame::REASONS;
+use crate::standing::{Standing, Way};
 use crate::verdict::Rest;
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -17,6 +18,8 @@
     pub started: Option<Micros>,
     /// It takes requests.
     pub ready: bool,
+    /// Its zone, where it has one.
+    pub zone: Option<String>,
 }
 
 /// What the decision module is told of an endpoint.
@@ -43,6 +46,30 @@
     pub bytes: Vec<u8>,
 }
 
+/// Something that people should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// The own standing is another.
+    Standing {
+        /// Which.
+        standing: Standing,
+        /// The zones that it is cut from, by name.
+        zones: Vec<(String, Way)>,
+    },
+    /// Two processes run under one name.
+    Twice {
+        /// The name.
+        name: String,
+        /// Where they are.
+        addresses: [SocketAddr; 2],
+    },
+    /// A member fails again and again; its word does not count for now.
+    Quarantined {
+        /// Its name.
+        name: String,
+    },
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, Default)]
 pub struct Effects {
@@ -50,6 +77,8 @@
     pub datagrams: Vec<(SocketAddr, Vec<u8>)>,
     /// What is new for the decision module.
     pub words: Vec<Word>,
+    /// What people should know.
+    pub notes: Vec<Note>,
     /// What others carried here for the host.
     pub carried: Vec<Carried>,
 }
--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -45,6 +45,10 @@
 
 /// A piece that is [`crate::evidence::Datum`].
 pub const EVIDENCE: u8 = 1;
+/// A piece by which a member tells what it sees of the fleet; see `core/standing.rs`.
+pub const VIEW: u8 = 3;
+/// A carried letter without body by which a member says that it leaves.
+pub const FAREWELL: u8 = 4;
 /// A piece, without content, by which a member that has just come asks for all evidence of sick endpoints.
 pub const ASK: u8 = 2;
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`verdict`]: what follows from it for one member: who rests. [`trial`]: who of those may be tried, when, by whom.
 //! - [`carrier`]: small pieces of other crates' data, spread the same way.
 //! - [`effects`]: what goes in and comes out of it. [`census`]: what people read. [`tokens`]: a rate.
+//! - [`standing`]: what a member concludes of its own place, and what each part may do there; beside it what it is
+//!   concluded from. [`roster`]: who is known, and how those left who did.
 //! - [`core`]: all of it as one state machine without I/O and clock.
 //! - [`udp`]: its sockets and timers.
 #![forbid(unsafe_code)]
@@ -19,7 +21,14 @@
 pub mod evidence;
 pub mod frame;
 pub mod member;
+pub mod roster;
 pub mod section;
+pub mod standing;
+mod standing_health;
+mod standing_heard;
+mod standing_views;
+mod standing_watch;
+mod standing_zone;
 pub mod tokens;
 pub mod trial;
 pub mod udp;
--- a/crates/fleet/src/section.rs
+++ b/crates/fleet/src/section.rs
@@ -36,6 +36,16 @@
     pub verdicts: Verdicts,
     /// Requests with a key prefer an endpoint that has met it.
     pub affinity: Affinity,
+    /// Where this member stands, and what follows.
+    pub standing: StandingSection,
+}
+
+/// Where a member stands, and what follows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StandingSection {
+    /// Whether it is found out; else it is whole, always.
+    pub enabled: bool,
 }
 
 /// Where members are unless something else is said: on one machine.
@@ -92,6 +102,7 @@
             members: 300,
             verdicts: Verdicts::default(),
             affinity: Affinity::default(),
+            standing: StandingSection::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/fleet/src/standing_health.rs
@@ -0,0 +1,68 @@
+//! Whether this member's own timers keep time. Changes with how much lateness is too much.
+//!
+//! A member that is starved of processor time misses answers that came in time and takes others for dead (Dadgar,
+//! Phillips and Currey, "Lifeguard: Local Health Awareness for More Accurate Failure Detection", DSN-W 2018), so it
+//! suspects itself first.
+
+use crate::{Micros, SECOND};
+
+/// A timer that is later than this is late: twice the pause of a busy tick.
+pub const LATE: Micros = SECOND / 5;
+/// Lateness that one timer adds at most: beyond, a long stop would be remembered for long.
+const MOST: f64 = 2.0;
+/// Seconds of lateness from which on it is unwell, and below which it is well again.
+const UNWELL: f64 = 1.0;
+const WELL: f64 = 0.2;
+/// Seconds of it that are forgotten a second: a fifth of the time late is too much.
+const FORGOTTEN: f64 = 0.2;
+
+/// How late it has been.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    lateness: f64,
+    at: Option<Micros>,
+    unwell: bool,
+}
+
+impl Health {
+    /// A timer that was due then runs now. True where so much was missed that what was last heard says nothing.
+    pub fn woke(&mut self, now: Micros, due: Micros) -> bool {
+        let Some(at) = self.at.replace(now) else { return true };
+        let gone = (now - at).max(0) as f64 / SECOND as f64;
+        self.lateness = (self.lateness - gone * FORGOTTEN).max(0.0);
+        let late = now - due;
+        if late > LATE {
+            self.lateness += (late as f64 / SECOND as f64).min(MOST);
+        }
+        self.unwell = self.lateness >= if self.unwell { WELL } else { UNWELL };
+        late > LATE
+    }
+
+    /// It should not believe what it sees.
+    pub fn unwell(&self) -> bool {
+        self.unwell
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_stop_or_many_short_ones_make_it_unwell_for_a_while() {
+        let mut health = Health::default();
+        let mut now = 0;
+        let mut run = |health: &mut Health, ticks: i64, late: Micros| {
+            for _ in 0..ticks {
+                let due = now + SECOND / 10;
+                now = due + late;
+                health.woke(now, due);
+            }
+            health.unwell()
+        };
+        assert!(!run(&mut health, 100, SECOND / 20), "a little late");
+        assert!(run(&mut health, 1, 3 * SECOND) && run(&mut health, 60, 0));
+        assert!(!run(&mut health, 40, 0), "well again");
+        assert!(run(&mut health, 20, SECOND / 4), "starved");
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/standing_views.rs
@@ -0,0 +1,125 @@
+//! Whether others see the same fleet. Changes with how views are compared.
+
+use crate::Micros;
+use crate::SECOND;
+use std::collections::VecDeque;
+
+/// Parts of a digest. As many differ as differing members fall into; from some 110 on all do, and no number can be told.
+pub const PARTS: usize = 32;
+/// Part of the members by which views may differ: a member or two are news under way, or lost to somebody.
+const ALIKE: f64 = 0.05;
+/// Comparisons that are held against each other.
+const COMPARED: usize = 8;
+/// News of a death need a probe, 4 s of suspicion and some hops; a difference that outlasts this is none of news.
+pub const NEWS_NEED: Micros = 10 * SECOND;
+/// How long views must agree before a dispute is over, so that it does not come and go.
+const SETTLED: Micros = 2 * SECOND;
+
+/// A view in short: who is known to run, by the hash of names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Digest {
+    parts: [u8; PARTS],
+    members: usize,
+}
+
+impl Digest {
+    /// Of these members, the one that sees them included.
+    pub fn of(origins: impl Iterator<Item = u64>) -> Self {
+        let mut digest = Self { parts: [0; PARTS], members: 0 };
+        for origin in origins {
+            digest.members += 1;
+            // Names are hashed already: low bits choose the part, others are what is mixed in.
+            digest.parts[(origin % PARTS as u64) as usize] ^= ((origin >> 8) as u8).max(1);
+        }
+        digest
+    }
+
+    /// As it was written.
+    pub fn read(parts: [u8; PARTS], members: u32) -> Self {
+        Self { parts, members: members as usize }
+    }
+
+    /// To be written.
+    pub fn parts(&self) -> ([u8; PARTS], u32) {
+        (self.parts, u32::try_from(self.members).unwrap_or(u32::MAX))
+    }
+
+    /// Whether two views differ by more than they may: so many balls thrown into the parts leave the others empty
+    /// (linear counting: Whang et al., ACM TODS 15, 1990, p. 208).
+    pub fn differs(&self, other: &Self) -> bool {
+        let same = self.parts.iter().zip(&other.parts).filter(|(a, b)| a == b).count();
+        let members = self.members.max(other.members) as f64;
+        let by = PARTS as f64 * (PARTS as f64 / same.max(1) as f64).ln();
+        same == 0 || by > ALIKE * members
+    }
+}
+
+/// What came of comparing.
+#[derive(Clone, Debug, Default)]
+pub struct Views {
+    last: VecDeque<bool>,
+    /// Since when most differ, or most agree.
+    most: Option<(bool, Micros)>,
+    disputed: bool,
+}
+
+impl Views {
+    /// A view was compared.
+    pub fn compared(&mut self, now: Micros, differs: bool) {
+        if self.last.len() == COMPARED {
+            self.last.pop_front();
+        }
+        self.last.push_back(differs);
+        let differing = self.last.iter().filter(|d| **d).count();
+        let most = 2 * differing > COMPARED;
+        if self.most.is_none_or(|(was, _)| was != most) {
+            self.most = Some((most, now));
+        }
+    }
+
+    /// Whether they differ for longer than news need.
+    pub fn disputed(&mut self, now: Micros) -> bool {
+        match self.most {
+            Some((true, since)) if now - since >= NEWS_NEED => self.disputed = true,
+            Some((false, since)) if now - since >= SETTLED => self.disputed = false,
+            _ => {}
+        }
+        self.disputed
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::hash;
+
+    fn digest(members: std::ops::Range<usize>) -> Digest {
+        Digest::of(members.map(|n| hash(&format!("n{n}"))))
+    }
+
+    #[test]
+    fn a_twentieth_may_differ_and_more_is_seen() {
+        assert!(!digest(0..60).differs(&digest(0..60)) && !digest(0..60).differs(&digest(0..59)));
+        assert!(digest(0..60).differs(&digest(0..50)) && digest(0..60).differs(&digest(10..60)));
+        assert!(digest(0..6).differs(&digest(0..5)), "one of six");
+        assert!(!digest(0..1000).differs(&digest(0..980)) && digest(0..1000).differs(&digest(0..850)));
+        let (parts, members) = digest(0..9).parts();
+        assert_eq!(Digest::read(parts, members), digest(0..9));
+    }
+
+    #[test]
+    fn a_dispute_takes_longer_than_news_and_ends_once_views_settle() {
+        let mut views = Views::default();
+        let mut at = 0;
+        let mut run = |views: &mut Views, seconds: i64, differs: bool| {
+            for _ in 0..2 * seconds {
+                at += SECOND / 2;
+                views.compared(at, differs);
+            }
+            views.disputed(at)
+        };
+        assert!(!run(&mut views, 10, false) && !run(&mut views, 11, true));
+        assert!(run(&mut views, 3, true) && run(&mut views, 2, false));
+        assert!(!run(&mut views, 4, false));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/standing_watch.rs
@@ -0,0 +1,143 @@
+//! Concludes a member's own standing from all that it follows. Changes with which standing goes before which.
+
+use crate::standing::{Kind, Standing, Way};
+use crate::standing_health::Health;
+use crate::standing_heard::Heard;
+use crate::standing_views::Views;
+use crate::standing_zone::{ASKED, Asking, DOUBT, FOUND, Followed, LOST, ROUND, ROUND_LOST, Zone};
+use crate::{Micros, SECOND};
+use std::collections::BTreeMap;
+
+/// For so long after a zone was lost, one that is doubted counts for neither side: it may be the same cut.
+const UNSETTLED: Micros = 2 * SECOND;
+
+/// Follows what is heard.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    /// Who hears whom.
+    pub heard: Heard,
+    /// Whether others see the same.
+    pub views: Views,
+    health: Health,
+    /// Nothing before this says anything: the start, or the end of a stop.
+    baseline: Micros,
+    zones: BTreeMap<u64, Followed>,
+    asking: Asking,
+    /// Nobody is heard; since when somebody is again.
+    alone: Option<Option<Micros>>,
+    joined: bool,
+    standing: Standing,
+    next: Micros,
+}
+
+impl Watch {
+    /// Begins; nobody has been heard.
+    pub fn new(now: Micros) -> Self {
+        Self { baseline: now, alone: Some(None), next: now, ..Self::default() }
+    }
+
+    /// The standing that was concluded last.
+    pub fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
+    /// A zone is lost, and did not die.
+    pub fn lost(&self, zone: u64) -> bool {
+        self.zones.get(&zone).is_some_and(|z| z.lost().is_some())
+    }
+
+    /// A zone is not heard.
+    pub fn silent(&self, zone: u64) -> bool {
+        self.zones.get(&zone).is_some_and(Followed::silent)
+    }
+
+    /// When it is to be looked at next.
+    pub fn next(&self) -> Micros {
+        self.next
+    }
+
+    /// A timer runs that was due then.
+    pub fn woke(&mut self, now: Micros, due: Micros) {
+        if self.health.woke(now, due) {
+            self.baseline = now;
+        }
+    }
+
+    /// Looks at all zones for a member of zone `here`. Back come zones to be asked, by how many probes; none is any zone.
+    pub fn step(&mut self, now: Micros, here: u64, zones: &[Zone]) -> Vec<(Option<u64>, usize)> {
+        self.next = now + SECOND;
+        let mut asks = Vec::new();
+        if self.health.unwell() {
+            // What it misses may be its own fault: what it held before it goes on to hold.
+            self.baseline = now;
+            self.standing.kind = Kind::Unwell;
+            return asks;
+        }
+        let all: usize = zones.iter().map(|z| z.known).sum();
+        self.zones.retain(|zone, _| zones.iter().any(|z| z.zone == *zone));
+        let (mut there, mut died, mut doubted, mut lost_at) = (0, 0, 0, None);
+        let mut cut: Vec<(u64, Way)> = Vec::new();
+        for z in zones.iter().filter(|z| z.zone != here) {
+            let followed = self.zones.entry(z.zone).or_default();
+            let looked = followed.look(now, (here, z, all), &self.heard, self.baseline);
+            self.next = self.next.min(looked.next);
+            if looked.ask > 0 {
+                asks.push((Some(z.zone), looked.ask));
+            }
+            if let Some(way) = followed.lost() {
+                cut.push((z.zone, way));
+                there += z.known;
+            }
+            died += if followed.died() { z.known } else { 0 };
+            doubted += if looked.doubted { z.known } else { 0 };
+            lost_at = lost_at.max(followed.at());
+        }
+        let ask = self.anybody(now, all);
+        if ask > 0 {
+            asks.push((None, ask));
+        }
+        let kind = match () {
+            () if self.alone.is_some() => Kind::Alone,
+            () if !cut.is_empty() => Kind::Cut,
+            () if self.views.disputed(now) => Kind::Disputed,
+            () => Kind::Whole,
+        };
+        if lost_at.is_none_or(|at| now - at >= UNSETTLED) {
+            doubted = 0;
+        }
+        let heard = all.saturating_sub(there + died + doubted);
+        let larger = (kind == Kind::Cut).then_some(2 * heard > all.saturating_sub(died));
+        self.standing = Standing { kind, cut, larger };
+        asks
+    }
+
+    /// Looks whether anybody is heard; how many are to be asked.
+    fn anybody(&mut self, now: Micros, all: usize) -> usize {
+        if all <= 1 {
+            // There is nobody else.
+            self.alone.get_or_insert(None);
+            return 0;
+        }
+        let age = now - self.heard.any().unwrap_or(self.baseline).max(self.baseline);
+        if age <= DOUBT && self.heard.any().is_some() {
+            self.asking.asked = 0;
+            self.alone = match self.alone {
+                // Who has just come need not prove that it was found again.
+                Some(_) if !self.joined => None,
+                Some(None) => Some(Some(now)),
+                Some(Some(since)) if now - since >= FOUND => None,
+                as_it_is => as_it_is,
+            };
+            self.joined = true;
+            return 0;
+        }
+        self.next = self.next.min(now + ROUND / 2);
+        if age >= LOST && self.asking.asked >= ASKED {
+            self.alone = Some(None);
+        }
+        if !self.joined {
+            return 0;
+        }
+        self.asking.round(now, if self.alone.is_some() { ROUND_LOST } else { ROUND })
+    }
+}
--- a/crates/fleet/tests/lan/mod.rs
+++ b/crates/fleet/tests/lan/mod.rs
@@ -3,15 +3,17 @@
 #![allow(dead_code, reason = "each file of tests uses its part")]
 
 use linenproxy_fleet::core::{Carried, Core, Listed, Word};
+use linenproxy_fleet::effects::Note;
 use linenproxy_fleet::evidence::{Datum, Process, Sign};
 use linenproxy_fleet::frame::{self, Content, Dropped, EVIDENCE, Head, Piece};
 use linenproxy_fleet::section::FleetSection;
+use linenproxy_fleet::standing::Kind;
 use linenproxy_fleet::verdict::Rest;
 use linenproxy_fleet::{Micros, SECOND, hash};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 
 pub const EPOCH: Micros = 1_000_000 * SECOND;
@@ -38,6 +40,15 @@
     pub lost: f64,
     pub repeated: f64,
     pub late: Micros,
+    /// Where each member is, and when it is to tick next.
+    pub places: HashMap<SocketAddr, usize>,
+    pub due: Vec<Micros>,
+    /// What people were told, by when and whom.
+    pub notes: Vec<(Micros, usize, Note)>,
+    /// Members find out where they stand.
+    pub standing: bool,
+    /// Members that nothing reaches and that reach nobody.
+    pub isolated: Vec<usize>,
     /// From that zone nothing gets into that one.
     pub cuts: Vec<(usize, usize)>,
 }
@@ -52,7 +63,13 @@
 }
 
 pub fn listed(endpoint: usize) -> Listed {
-    Listed { endpoint, name: format!("s-{endpoint}"), started: None, ready: true }
+    Listed {
+        endpoint,
+        name: format!("s-{endpoint}"),
+        started: None,
+        ready: true,
+        zone: Some(["a", "b", "c"][endpoint % 3].to_owned()),
+    }
 }
 
 impl Lan {
@@ -70,19 +87,41 @@
             lost: 0.0,
             repeated: 0.0,
             late: 0,
+            places: (0..members).map(|m| (address(m), m)).collect(),
+            due: vec![EPOCH; members],
+            notes: Vec::new(),
+            standing: false,
+            isolated: Vec::new(),
             cuts: Vec::new(),
         };
         (0..members).for_each(|member| lan.start(member));
         lan
     }
 
+    /// One whose members find out where they stand, settled.
+    pub fn settled(members: usize, seed: u64) -> Self {
+        let mut lan = Self::new(members, seed);
+        lan.standing = true;
+        (0..members).for_each(|member| lan.start(member));
+        lan.run(15 * SECOND);
+        lan.notes.clear();
+        lan
+    }
+
+    /// What each member that runs takes its standing for.
+    pub fn standings(&self) -> Vec<Kind> {
+        self.cores.iter().flatten().map(|core| core.standing().kind).collect()
+    }
+
     /// Starts a member, again if it runs.
     pub fn start(&mut self, member: usize) {
         let (now, seed) = (self.now + self.offsets[member], self.rng.random());
         let zone = ["a", "b", "c"][member % 3];
-        let section = section(member, self.cores.len());
+        let mut section = section(member, self.cores.len());
+        section.standing.enabled = self.standing;
         let mut core = Core::new(&section, &format!("n{member}"), zone, now.unsigned_abs(), seed, now);
         core.listed(now, (0..ENDPOINTS).map(listed).collect());
+        self.due[member] = self.now;
         self.cores[member] = Some(core);
         self.words[member].clear();
     }
@@ -92,6 +131,8 @@
         let core = self.cores[member].as_mut()?;
         let result = what(core, now);
         let effects = core.effects();
+        self.due[member] = core.next() - self.offsets[member];
+        self.notes.extend(effects.notes.into_iter().map(|note| (self.now, member, note)));
         for (to, bytes) in effects.datagrams {
             self.post(address(member), to, bytes);
         }
@@ -106,8 +147,11 @@
     }
 
     pub fn post(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
-        let member = |at: SocketAddr| (0..self.cores.len()).find(|m| address(*m) == at);
+        let member = |at: SocketAddr| self.places.get(&at).copied();
         let (Some(source), Some(to)) = (member(from), member(to)) else { return };
+        if self.isolated.contains(&source) || self.isolated.contains(&to) {
+            return;
+        }
         if self.cuts.contains(&(source % 3, to % 3)) || self.rng.random_bool(self.lost) {
             return;
         }
@@ -123,8 +167,8 @@
         let until = self.now + time;
         loop {
             let tick = (0..self.cores.len()).filter_map(|m| {
-                let core = self.cores[m].as_ref()?;
-                Some(((core.next() - self.offsets[m]).max(self.stopped[m]), m))
+                self.cores[m].as_ref()?;
+                Some((self.due[m].max(self.stopped[m]), m))
             });
             let tick = tick.min();
             let mail = self.mail.peek().map(|Reverse((at, ..))| *at);
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -149,6 +149,7 @@
         let mut section = section(member, 6);
         section.verdicts.enabled = false;
         let now = lan.now + 1;
+        lan.due[member] = now;
         lan.cores[member] =
             Some(Core::new(&section, &format!("n{member}"), "a", now.unsigned_abs(), member as u64, now));
     }
