Grant nothing anywhere while any limit is broken

The agreement as a whole is the hard limit: with a zone below its floor by a death, a grant in another zone adds to what is away while the agreement is already passed, and an audit of all limits would rightly cry. So plans, grants and drains ask for every limit; a take, already debited, for those that its server counts under.

--- a/crates/maintenance/src/due.rs
+++ b/crates/maintenance/src/due.rs
@@ -25,8 +25,13 @@
                     State::Draining if !self.waits_for_clear() => Step::Take,
                     _ => continue,
                 };
+                let bears = match step {
+                    Step::Drain => ledger.holds(),
+                    Step::Take => self.holds_for(&ledger, &seat.server),
+                    Step::Return | Step::CallBack => true,
+                };
                 let out = matches!(step, Step::Drain | Step::Take);
-                if out && (blackout || window.cancelled || !self.holds_for(&ledger, &seat.server)) {
+                if !bears || out && (blackout || window.cancelled) {
                     continue;
                 }
                 acts.push(Act { window: window.id, server: seat.server.clone(), step, token: seat.token });
--- a/crates/maintenance/src/grant.rs
+++ b/crates/maintenance/src/grant.rs
@@ -81,7 +81,7 @@
                 ledger.debit(server, known, id);
             }
         }
-        seats.iter().all(|index| self.holds_for(&ledger, &window.seats[*index].server))
+        ledger.holds()
     }
 
     fn give(&mut self, id: u64, index: usize) {
--- a/crates/maintenance/src/timeline.rs
+++ b/crates/maintenance/src/timeline.rs
@@ -23,16 +23,14 @@
         }
     }
 
-    /// The first limit that this and a further load together pass. One that `touched` has no part in can't stand
-    /// against it.
-    fn passes(&self, further: &Load, touched: &Load, most: &Load) -> Option<Block> {
+    /// The first limit that this and a further load together pass, also one that the further load has no part in:
+    /// while any limit is broken, nothing more goes away.
+    fn passes(&self, further: &Load, most: &Load) -> Option<Block> {
         if self.away + further.away > most.away {
             return Some(Block::Count);
         }
-        let numbers = 0..self.weights.len();
-        let passed =
-            |n: &usize| touched.weights[*n] > 0 && self.weights[*n] + further.weights[*n] > most.weights[*n];
-        numbers.into_iter().find(passed).map(Block::Weight)
+        let mut sums = self.weights.iter().zip(&further.weights).zip(&most.weights);
+        sums.position(|((mine, theirs), most)| mine + theirs > *most).map(Block::Weight)
     }
 }
 
@@ -167,7 +165,7 @@
                 break;
             }
             let mine = if *at < self.down_until_ms { &piece.live } else { &piece.full };
-            if let Some(block) = load.passes(mine, &piece.full, &self.most) {
+            if let Some(block) = load.passes(mine, &self.most) {
                 found = Some((block, self.points.get(index + 1).map(|(next, _)| *next)));
             }
         }
