Read of every sidecar where it stands, and measure how cuts are found

The lab asks each sidecar whose configuration has {metrics} for GET /fleet four times a second and notes what changes in its standing. Four measures: how long until the last member found a cut, part that missed it, how long it outlived the cut, false ones. A test has each.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,7 +20,9 @@
 pub mod listing;
 pub mod live;
 pub mod net;
+pub mod observer;
 pub mod outcome;
+pub mod page;
 pub mod plan;
 pub mod platform;
 pub mod play;
@@ -33,6 +35,7 @@
 pub mod statistics;
 pub mod supervisor;
 pub mod tally;
+pub mod ways;
 pub mod world;
 
 /// Microseconds: a duration, or the time since a play began.
--- /dev/null
+++ b/crates/lab/src/observer.rs
@@ -0,0 +1,55 @@
+//! Reads of every sidecar where it stands in its fleet, and notes what changes. Changes with what sidecars say of
+//! themselves.
+
+use crate::net::Clock;
+use crate::page::ask;
+use crate::record::{Record, Seen, Stands};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How often a sidecar is asked.
+const EVERY: Duration = Duration::from_millis(250);
+/// How long one may take to answer: one that is stopped answers nothing.
+const WITHIN: Duration = Duration::from_millis(1000);
+
+/// The standing that a page tells; none where it tells none.
+fn standing(page: &Value) -> Option<Stands> {
+    let told = &page["standing"];
+    let word = told.as_str().or_else(|| told["kind"].as_str())?;
+    Some(match word {
+        "whole" => Stands::Whole,
+        "disputed" => Stands::Disputed,
+        "cut" => Stands::Cut,
+        "alone" => Stands::Alone,
+        "unwell" => Stands::Unwell,
+        _ => return None,
+    })
+}
+
+/// Follows one sidecar for good.
+pub async fn observe(sidecar: usize, at: SocketAddr, clock: Clock, record: Record) {
+    let mut last = None;
+    loop {
+        sleep(EVERY).await;
+        let page = ask(at, "GET", "/fleet", None, WITHIN).await;
+        let Some(stands) = page.and_then(|(_, page)| standing(&page)) else { continue };
+        if last.replace(stands) != Some(stands) {
+            record.note(clock.now(), Seen::Standing { sidecar, stands });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_standing_is_read_by_itself_or_with_its_particulars() {
+        assert_eq!(standing(&json!({"standing": "whole"})), Some(Stands::Whole));
+        assert_eq!(standing(&json!({"standing": {"kind": "cut", "larger": true}})), Some(Stands::Cut));
+        assert_eq!([json!({}), json!({"standing": "odd"})].map(|page| standing(&page)), [None, None]);
+    }
+}
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -58,6 +58,14 @@
     LeastCapacity,
     /// Acts that the platform refused as their token was too low.
     TokensRefused,
+    /// Time until the last sidecar found that there was a cut, in seconds; the longest of all cuts.
+    CutFoundS,
+    /// Part of the sidecars that did not find a cut before it was over, over all cuts.
+    CutMissed,
+    /// Time from the end of a cut until the last sidecar no longer found one, in seconds.
+    CutEndsS,
+    /// Times that a sidecar found itself cut off or alone where nothing was cut.
+    CutFalse,
     /// How late the lab itself was, one request in a hundred, in milliseconds.
     LatenessMs,
     /// Broken rules.
@@ -66,7 +74,7 @@
 
 impl Measure {
     /// All of them.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 32] = [
         Self::Served,
         Self::ServedWorstClass,
         Self::ServedWorstSecond,
@@ -93,6 +101,10 @@
         Self::CapacityBreaches,
         Self::LeastCapacity,
         Self::TokensRefused,
+        Self::CutFoundS,
+        Self::CutMissed,
+        Self::CutEndsS,
+        Self::CutFalse,
         Self::LatenessMs,
         Self::BrokenRules,
     ];
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -137,5 +137,7 @@
     Ok(tally(plan, &record, Beside { work, savable, fallen, lateness, fleet_bytes, spent }, findings))
 }
 
+/// What stands in a variant's configuration for the address of a sidecar's pages, which the lab then reads.
+pub const METRICS: &str = "{metrics}";
 /// What stands in a variant's configuration for the addresses of a sidecar in its fleet.
 pub const FLEET: &str = "{fleet}";
--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -1,7 +1,7 @@
 //! Brings up everything that a play needs. Changes with what stands in for what.
 
 use super::stage::{Sidecar, Stage};
-use super::{FLEET, Launch, PlayError, Tasks};
+use super::{FLEET, Launch, METRICS, PlayError, Tasks};
 use crate::agent::Agent;
 use crate::catalogue::Catalogue;
 use crate::datagrams::Datagrams;
@@ -9,6 +9,7 @@
 use crate::fronts::Fronts;
 use crate::liar::lie;
 use crate::net::{Clock, Net};
+use crate::observer::observe;
 use crate::plan::{Mood, Plan};
 use crate::platform::Platform;
 use crate::record::Record;
@@ -113,6 +114,11 @@
                     let section = fronts.section(sidecar, spec.clock_offset_ms);
                     variant.config = variant.config.replace(FLEET, &section);
                 }
+                let metrics = free(host(5, sidecar)).map_err(io("no address for a sidecar's pages"))?;
+                if variant.config.contains(METRICS) {
+                    variant.config = variant.config.replace(METRICS, &metrics.to_string());
+                    tasks.spawn(observe(sidecar, metrics, clock.clone(), record.clone()));
+                }
                 let seed = plan.seed.wrapping_add(sidecar as u64);
                 let both = (clock.clone(), record.clone());
                 let supervised = Supervised::new(told, bringing, &variant, folder, seed, both);
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -21,6 +21,21 @@
     CallBack,
 }
 
+/// What a sidecar concludes of its own place in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stands {
+    /// It hears all.
+    Whole,
+    /// Views differ.
+    Disputed,
+    /// A zone is cut off, or its own is.
+    Cut,
+    /// It hears nobody.
+    Alone,
+    /// It doubts itself.
+    Unwell,
+}
+
 /// Something seen.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Seen {
@@ -137,6 +152,13 @@
         /// It was done, or was done already.
         accepted: bool,
     },
+    /// A sidecar tells where it stands.
+    Standing {
+        /// The sidecar.
+        sidecar: usize,
+        /// Where.
+        stands: Stands,
+    },
     /// A sidecar's process is ready.
     SidecarUp {
         /// The sidecar.
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -1,10 +1,12 @@
 //! Turns the record of one play into figures and curves. Changes with how a figure is counted.
 
 mod maintenance;
+mod standing;
+mod trials;
 
 use crate::audit::Finding;
 use crate::outcome::Measure;
-use crate::plan::{Plan, Step};
+use crate::plan::Plan;
 use crate::record::{Entry, Seen, Try};
 use crate::site::CLASSES;
 use crate::supervisor::Spent;
@@ -12,7 +14,9 @@
 use hdrhistogram::Histogram;
 use maintenance::maintenance;
 use serde::Serialize;
+use standing::standing;
 use std::collections::{BTreeMap, HashMap};
+use trials::trials;
 
 /// What the lab knows besides the record.
 #[derive(Clone, Debug, Default)]
@@ -61,39 +65,11 @@
     answered: Option<Us>,
 }
 
+/// A part of a whole; of nothing it is none.
 fn share(part: f64, whole: f64) -> f64 {
     if whole > 0.0 { part / whole } else { 0.0 }
 }
 
-/// A server that has been silent for so long is known to be: what it is sent from then on are trials.
-const KNOWN_AFTER: Us = 3 * SECOND;
-
-/// Attempts at silent servers that were known to be, for each of them and second.
-fn trials(plan: &Plan, record: &[Entry]) -> f64 {
-    let mut silent: Vec<(usize, Us, Us)> = Vec::new();
-    for (at, step) in &plan.steps {
-        match step {
-            Step::ServerSilent(server, true) => silent.push((*server, at + KNOWN_AFTER, Us::MAX)),
-            Step::ServerSilent(server, false) => {
-                silent
-                    .iter_mut()
-                    .filter(|(s, ..)| s == server)
-                    .for_each(|(.., until)| *until = (*until).min(*at));
-            }
-            _ => {}
-        }
-    }
-    silent.iter_mut().for_each(|(.., until)| *until = (*until).min(plan.lasts));
-    let time: Us = silent.iter().map(|(_, from, until)| until.saturating_sub(*from)).sum();
-    let trial = |(at, seen): &&Entry| match seen {
-        Seen::Attempt { server, .. } => {
-            silent.iter().any(|(s, from, until)| s == server && (from..until).contains(&at))
-        }
-        _ => false,
-    };
-    share(record.iter().filter(trial).count() as f64, time as f64 / SECOND as f64)
-}
-
 /// Counts a play.
 pub fn tally(plan: &Plan, record: &[Entry], beside: Beside, findings: Vec<Finding>) -> Tally {
     let counted = |at: Us| at >= plan.warmup;
@@ -204,7 +180,11 @@
         (Measure::BrokenRules, findings.len() as f64),
     ];
     Tally {
-        measures: measures.into_iter().chain(maintenance(plan, record)).collect(),
+        measures: measures
+            .into_iter()
+            .chain(maintenance(plan, record))
+            .chain(standing(plan, record))
+            .collect(),
         served: asked.iter().zip(&served).map(|(a, s)| if *a > 0.0 { s / a } else { 1.0 }).collect(),
         attempts: attempts_over_time,
         by_server,
--- /dev/null
+++ b/crates/lab/src/ways.rs
@@ -0,0 +1,43 @@
+//! Ways from one process to another through the network: what is dialled here is joined with what listens there. Changes
+//! with how the lab stands between processes.
+
+use crate::door::{Door, Life};
+use crate::net::Net;
+use crate::relay::{Link, join};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+/// Opens a way on that host, from a zone to a listener in another. It holds until its task is ended.
+///
+/// # Errors
+/// There is no socket.
+pub fn open(
+    host: IpAddr,
+    net: &Net,
+    (from, to): (usize, usize),
+    target: SocketAddr,
+) -> io::Result<(SocketAddr, AbortHandle)> {
+    let link = Link { net: net.clone(), from, to };
+    // The listener behind it says itself whether it is there.
+    let (alive, life) = watch::channel(Life { up: true, number: 1 });
+    let door = Door::bind(host, life, link.clone())?;
+    let address = door.address();
+    let task = tokio::spawn(async move {
+        let _alive = alive;
+        door.run(move |stream, _| {
+            let link = link.clone();
+            tokio::spawn(async move {
+                // Where nobody listens the connection is closed before anything is said.
+                if let Ok(server) = TcpStream::connect(target).await {
+                    let _ = server.set_nodelay(true);
+                    join(stream, server, link, std::future::pending()).await;
+                }
+            });
+        })
+        .await;
+    });
+    Ok((address, task.abort_handle()))
+}
