Play stewards as real processes, with faults at any step of a window

An experiment's windows may be asked of 3 or 5 linenproxy-steward processes, with ways through the network between them and to the sidecars' pages, so that cuts part them. Faults kill, stop, tear or empty the leader, a follower, a majority or all, at a time or once a server's seat has come to a state. Sidecars without pages have the truth told in their place.

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -94,6 +94,9 @@
 
 fn processes(record: &[Entry], findings: &mut Vec<Finding>) {
     for (at, seen) in record {
+        if let Seen::StewardBroken { what } = seen {
+            findings.push(Finding { rule: Rule::Process, at: *at, what: what.clone() });
+        }
         if let Seen::SidecarFault { sidecar, what } = seen {
             findings.push(Finding {
                 rule: Rule::Process,
--- a/crates/lab/src/bin/linenproxy-lab/call.rs
+++ b/crates/lab/src/bin/linenproxy-lab/call.rs
@@ -32,6 +32,9 @@
         parent: u32,
         /// The program.
         program: PathBuf,
+        /// Its words.
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        words: Vec<String>,
     },
     /// Read experiment files and say what is wrong with them.
     Check {
--- a/crates/lab/src/bin/linenproxy-lab/main.rs
+++ b/crates/lab/src/bin/linenproxy-lab/main.rs
@@ -29,8 +29,8 @@
         Ok(call) => call,
         Err(exit) => return exit.into(),
     };
-    if let What::Keep { parent, program } = &call.what {
-        return say(&keep(*parent, program), Exit::Software).into();
+    if let What::Keep { parent, program, words } = &call.what {
+        return say(&keep(*parent, program, words), Exit::Software).into();
     }
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build();
     let runtime = match runtime {
--- a/crates/lab/src/experiment/maintenance.rs
+++ b/crates/lab/src/experiment/maintenance.rs
@@ -81,12 +81,60 @@
 pub struct Stewards {
     /// How many.
     pub count: usize,
-    /// The configuration of each, as the text of a file; docs/lab.md has what stands for what in it.
+    /// More of the configuration of each, as the text of a file, beside addresses, files and the agreement.
     pub config: String,
+    /// What goes wrong with them.
+    pub fault: Vec<StewardFault>,
 }
 
 impl Default for Stewards {
     fn default() -> Self {
-        Self { count: 3, config: String::new() }
+        Self { count: 3, config: String::new(), fault: Vec::new() }
     }
 }
+
+/// Something that goes wrong with stewards.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StewardFault {
+    /// What.
+    pub kind: StewardFaultKind,
+    /// Whom it meets.
+    pub who: Who,
+    /// Earliest time, since the first request.
+    pub at: Time,
+    /// It waits from then on until a server's seat has come to that state: `booked`, `draining`, `clear`, `away`,
+    /// `returning`, `closed`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub on: Option<String>,
+    /// How long it lasts.
+    pub lasts: Time,
+}
+
+/// Kinds of faults of stewards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StewardFaultKind {
+    /// Killed, and started again when it ends.
+    Kill,
+    /// Stopped and continued (SIGSTOP, SIGCONT).
+    Stop,
+    /// Killed, its disk emptied, and started again when it ends.
+    EmptyDisk,
+    /// Killed, its largest file torn in the middle, and started again when it ends.
+    TearDisk,
+}
+
+/// Which stewards a fault meets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Who {
+    /// The one that leads at that moment.
+    Leader,
+    /// One that does not.
+    Follower,
+    /// More than half, the leader among them.
+    Majority,
+    /// All.
+    All,
+}
--- a/crates/lab/src/listing.rs
+++ b/crates/lab/src/listing.rs
@@ -1,5 +1,6 @@
 //! The list in the form in which discovery tells it. Changes with the form of a list (PROTOCOL, "Discovery").
 
+use crate::Us;
 use crate::directory::State;
 use crate::plan::{Plan, ServerSpec};
 use crate::site::{KINDS, ZONES};
@@ -8,7 +9,7 @@
 /// Unix time in milliseconds at which the play began, and what an entry is called on the wire.
 pub fn entry(spec: &ServerSpec, state: State, address: std::net::SocketAddr, began_ms: u64) -> Value {
     let (status, since) = match state {
-        State::Active { since } => ("active", since.map_or(0, |at| began_ms + at / 1000)),
+        State::Active { since } => ("active", started_ms(since, began_ms)),
         State::Leaving => ("leaving", 0),
         State::Left => ("left", 0),
     };
@@ -27,6 +28,11 @@
     (weight(spec) * 1000.0).round() as u64
 }
 
+/// Unix time in milliseconds at which a process started, 0 where that is long ago, in a play that began then.
+pub fn started_ms(since: Option<Us>, began_ms: u64) -> u64 {
+    since.map_or(0, |at| began_ms + at / 1000)
+}
+
 /// A list in the form of the protocol page.
 pub fn list(
     plan: &Plan,
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -6,12 +6,12 @@
 use crate::Us;
 use crate::catalogue::Catalogue;
 use crate::directory::State;
-use crate::listing::capacity;
+use crate::listing::{capacity, started_ms};
 use crate::net::Clock;
 use crate::plan::{Plan, Returns};
 use crate::record::{Act, Record, Seen};
 use crate::servers::Servers;
-use crate::site::ZONES;
+use crate::site::{self, ZONES};
 use serde::Serialize;
 use serde_json::{Value, json};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -46,6 +46,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Held {
     highest: u64,
+    /// When it was drained.
+    since: Us,
     place: Place,
     returns: Returns,
 }
@@ -61,6 +63,7 @@
     servers: Arc<Servers>,
     catalogue: Catalogue,
     held: Mutex<Vec<Held>>,
+    told_within: Us,
 }
 
 impl Platform {
@@ -72,9 +75,12 @@
         servers: Arc<Servers>,
         catalogue: Catalogue,
     ) -> Arc<Self> {
-        let held = Held { highest: 0, place: Place::Serving, returns: Returns::Well };
+        let held = Held { highest: 0, since: 0, place: Place::Serving, returns: Returns::Well };
+        // The latest agent, and what a sidecar may take to act on it.
+        let latest = plan.sidecars.iter().map(|spec| spec.list_lag).max().unwrap_or(0);
+        let told_within = latest + site::DRAIN_GRACE + site::SLACK;
         let held = Mutex::new(vec![held; plan.servers.len()]);
-        Arc::new(Self { plan, clock, record, servers, catalogue, held })
+        Arc::new(Self { plan, clock, record, servers, catalogue, held, told_within })
     }
 
     fn with<T>(&self, what: impl FnOnce(&mut Vec<Held>) -> T) -> T {
@@ -114,6 +120,7 @@
         let place = match (act, before) {
             (Act::Drain, Place::Serving) => {
                 self.catalogue.set(now, server, State::Leaving);
+                held[server].since = now;
                 Place::Draining
             }
             (Act::Take, Place::Serving | Place::Draining) => {
@@ -166,7 +173,12 @@
 
     /// Unix time in milliseconds at which a listed process started, 0 for long ago: the same as in the list.
     pub fn started_ms(&self, server: usize, now: Us) -> u64 {
-        self.catalogue.since(now, server).map_or(0, |at| self.clock.began_ms() + at / 1000)
+        started_ms(self.since(server, now), self.clock.began_ms())
+    }
+
+    /// When the process of a server that is listed started; none for long ago.
+    pub fn since(&self, server: usize, now: Us) -> Option<Us> {
+        self.catalogue.since(now, server)
     }
 
     /// All servers that are there or are to come back.
@@ -178,11 +190,15 @@
         });
         let entry = |(i, held): (usize, &Held)| {
             let spec = &self.plan.servers[i];
+            // What runs at a draining server means nothing while some sidecar may not have heard of it.
+            let told = held.since.saturating_add(self.told_within) <= now;
+            let runs = self.servers.with(|world, _, _| (world.up(i), world.held(i)));
+            let in_flight = (held.place != Place::Draining || told).then_some(runs.1);
             // One that was never started, or left for good, is none of the platform's.
             let listed = held.place != Place::Serving || !gone.contains(&i);
-            (listed || self.servers.with(|world, _, _| world.up(i))).then(|| {
+            (listed || runs.0).then(|| {
                 json!({"name": spec.name, "zone": ZONES[spec.zone], "group": format!("g{}", spec.group),
-                    "weight": capacity(spec), "started_ms": self.started_ms(i, now), "state": held.place})
+                    "weight": capacity(spec), "started_ms": self.started_ms(i, now), "state": held.place, "in_flight": in_flight})
             })
         };
         self.with(|held| held.iter().enumerate().filter_map(entry).collect())
--- a/crates/lab/src/platform/http.rs
+++ b/crates/lab/src/platform/http.rs
@@ -15,6 +15,7 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
 
 /// Longest body of an act.
 const LONGEST: usize = 16 << 10;
@@ -29,6 +30,14 @@
 }
 
 impl Platform {
+    /// Serves whoever connects, for good.
+    pub async fn listen(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            tokio::spawn(Arc::clone(&self).serve(stream));
+        }
+    }
+
     /// Serves one connection.
     pub async fn serve(self: Arc<Self>, stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) {
         let service = service_fn(move |request| Arc::clone(&self).answer(request));
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -11,6 +11,7 @@
 use crate::fronts::Fronts;
 use crate::plan::Plan;
 use crate::record::Record;
+use crate::stewards::{ask_for_windows, trouble};
 use crate::supervisor::{Bringing, Told};
 use crate::tally::{Beside, Tally, tally};
 use build::build;
@@ -39,6 +40,8 @@
 pub enum PlayError {
     /// Sockets or files could not be had.
     Io(String, io::Error),
+    /// The stewards did not begin to lead.
+    Stewards(String),
     /// A sidecar did not start.
     Start(usize, String),
 }
@@ -47,6 +50,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Io(what, e) => write!(f, "{what}: {e}"),
+            Self::Stewards(what) => f.write_str(what),
             Self::Start(sidecar, what) => write!(f, "sidecar {sidecar} {what}"),
         }
     }
@@ -108,6 +112,10 @@
     });
     let (clock, platform) = (stage.clock.clone(), Arc::clone(&stage.platform));
     tasks.spawn(carry_out(Arc::clone(plan), clock, platform, variant.windows));
+    if let (Some(stewards), Some(asked)) = (&stage.stewards, &experiment.stewards) {
+        tasks.spawn(ask_for_windows(Arc::clone(stewards)));
+        tasks.spawn(trouble(Arc::clone(stewards), asked.fault.clone()));
+    }
     let apps = Arc::new(Apps {
         plan: Arc::clone(plan),
         clock: stage.clock.clone(),
--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -5,7 +5,8 @@
 use crate::agent::Agent;
 use crate::catalogue::Catalogue;
 use crate::datagrams::Datagrams;
-use crate::experiment::{Experiment, FaultKind, Variant};
+use crate::experiment::{Carried, Experiment, FaultKind, Variant};
+use crate::fleetpages::Truth;
 use crate::fronts::Fronts;
 use crate::liar::lie;
 use crate::net::{Clock, Net};
@@ -15,6 +16,7 @@
 use crate::record::Record;
 use crate::servers::Servers;
 use crate::site;
+use crate::stewards::{Around, Stewards};
 use crate::supervisor::{Supervised, Told};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -83,7 +85,7 @@
         }
         false => None,
     };
-    let mut sidecars = Vec::new();
+    let (mut sidecars, mut pages) = (Vec::new(), Vec::new());
     for (sidecar, spec) in plan.sidecars.iter().enumerate() {
         let mut addresses = Vec::new();
         for server in 0..plan.servers.len() {
@@ -115,6 +117,15 @@
                     variant.config = variant.config.replace(FLEET, &section);
                 }
                 let metrics = free(host(5, sidecar)).map_err(io("no address for a sidecar's pages"))?;
+                pages.push(metrics);
+                let asked = variant.windows == Carried::Asked && !variant.config.contains(METRICS);
+                if asked {
+                    let listener = tokio::net::TcpListener::bind(metrics).await;
+                    let listener = listener.map_err(io("no socket for a sidecar's pages"))?;
+                    let (plan, platform) = (Arc::clone(plan), Arc::clone(&platform));
+                    let truth = Truth { plan, clock: clock.clone(), servers: Arc::clone(&servers), platform };
+                    tasks.spawn(truth.tell(sidecar, listener));
+                }
                 if variant.config.contains(METRICS) {
                     variant.config = variant.config.replace(METRICS, &metrics.to_string());
                     tasks.spawn(observe(sidecar, metrics, clock.clone(), record.clone()));
@@ -138,7 +149,27 @@
             process.lock().await.ready().await.map_err(|what| PlayError::Start(number, what))?;
         }
     }
+    let stewards = match (&experiment.stewards, launch) {
+        (Some(asked), Launch::Program(bringing)) if variant.windows == Carried::Asked => {
+            let listener = tokio::net::TcpListener::bind((host(8, 0), 0)).await;
+            let listener = listener.map_err(io("no socket for the platform"))?;
+            let at = listener.local_addr().map_err(io("no address for the platform"))?;
+            tasks.spawn(Arc::clone(&platform).listen(listener));
+            let mut bringing = bringing.clone();
+            bringing.program = bringing.program.with_file_name("linenproxy-steward");
+            let around =
+                Around { net: &net, platform: (Arc::clone(&platform), at), sidecars: &pages, host, folder };
+            let both = (plan, &clock, &record);
+            let started = Stewards::start(asked.count, &asked.config, &bringing, around, both).await;
+            let (stewards, handles) = started.map_err(io("cannot start the stewards"))?;
+            tasks.0.extend(handles);
+            stewards.ready().await.map_err(PlayError::Stewards)?;
+            Some(stewards)
+        }
+        _ => None,
+    };
     Ok(Stage {
+        stewards,
         clock,
         record,
         net,
--- a/crates/lab/src/play/stage.rs
+++ b/crates/lab/src/play/stage.rs
@@ -7,6 +7,7 @@
 use crate::platform::Platform;
 use crate::record::{Record, Seen};
 use crate::servers::Servers;
+use crate::stewards::Stewards;
 use crate::supervisor::Supervised;
 use rustix::process::Signal;
 use std::net::SocketAddr;
@@ -33,6 +34,7 @@
     pub(super) datagrams: watch::Sender<Datagrams>,
     pub(super) lies: watch::Sender<bool>,
     pub(super) fronts: Option<Fronts>,
+    pub(super) stewards: Option<Arc<Stewards>>,
     pub(super) sidecars: Vec<Sidecar>,
     /// Faults that take their time, such as a stop.
     pub(super) under_way: Mutex<JoinSet<()>>,
@@ -137,6 +139,9 @@
     pub(super) async fn end(self: &Arc<Self>) {
         let mut under_way = std::mem::take(&mut *self.under_way.lock().await);
         while under_way.join_next().await.is_some() {}
+        if let Some(stewards) = &self.stewards {
+            stewards.end().await;
+        }
         let mut ends = JoinSet::new();
         for sidecar in 0..self.sidecars.len() {
             let this = Arc::clone(self);
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -3,6 +3,7 @@
 
 use crate::Us;
 use crate::directory::State;
+use crate::experiment::StewardFaultKind;
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// A client's try, by the number in its correlation id.
@@ -152,6 +153,27 @@
         /// It was done, or was done already.
         accepted: bool,
     },
+    /// The stewards answered to the wish for a window.
+    Window {
+        /// Which, a place in the plan.
+        window: usize,
+        /// It is booked.
+        booked: bool,
+        /// Status and words.
+        what: String,
+    },
+    /// Something happened to stewards.
+    StewardFault {
+        /// What.
+        kind: StewardFaultKind,
+        /// To how many.
+        count: usize,
+    },
+    /// A steward, or the lab with it, did not do what it must.
+    StewardBroken {
+        /// What.
+        what: String,
+    },
     /// A sidecar tells where it stands.
     Standing {
         /// The sidecar.
--- /dev/null
+++ b/crates/lab/src/stewards.rs
@@ -0,0 +1,182 @@
+//! Real stewards, with ways between them, to the sidecars' pages and to the platform. Changes with what stewards are
+//! given.
+
+mod asker;
+mod faults;
+mod process;
+
+pub use asker::ask_for_windows;
+pub use faults::trouble;
+
+use crate::net::{Clock, Net};
+use crate::page::ask;
+use crate::plan::{Kept, Plan};
+use crate::platform::Platform;
+use crate::record::Record;
+use crate::site::ZONES;
+use crate::supervisor::Bringing;
+use crate::ways;
+use crate::{SECOND, Us};
+use process::Steward;
+use serde_json::Value;
+use std::fmt::Write;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep};
+
+/// How long a steward may take to answer the lab.
+const WITHIN: Duration = Duration::from_secs(1);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+/// How long an election may take at the beginning of a play.
+const ELECTED_WITHIN: Duration = Duration::from_secs(30);
+
+/// Of the time within which a death must be answered, this much is for seeing it and for acting: two rounds of looks
+/// of a second, and half a second for each of two rounds of acts.
+const ACTS_WITHIN: Us = 3 * SECOND;
+/// How long a plan supposes a dead server to be away: a play lasts a minute, not a day.
+const REPAIR_MS: u64 = 10_000;
+
+/// All stewards of a play.
+pub struct Stewards {
+    all: Vec<Mutex<Steward>>,
+    pages: Vec<SocketAddr>,
+    plan: Arc<Plan>,
+    platform: Arc<Platform>,
+    clock: Clock,
+    record: Record,
+}
+
+/// What stewards meet.
+pub struct Around<'a> {
+    /// The network.
+    pub net: &'a Net,
+    /// The platform, and where it listens.
+    pub platform: (Arc<Platform>, SocketAddr),
+    /// Pages of the sidecars.
+    pub sidecars: &'a [SocketAddr],
+    /// A host of the loopback range by purpose: to listen on, to dial.
+    pub host: fn(u8, usize) -> IpAddr,
+    /// Where their files lie.
+    pub folder: &'a Path,
+}
+
+impl Stewards {
+    /// Starts so many, each with that text beside what it must be told. Ways between processes hold until the handles
+    /// are ended.
+    ///
+    /// # Errors
+    /// Sockets or files cannot be had, or the program cannot be started.
+    pub async fn start(
+        count: usize,
+        more: &str,
+        bringing: &Bringing,
+        around: Around<'_>,
+        (plan, clock, record): (&Arc<Plan>, &Clock, &Record),
+    ) -> io::Result<(Arc<Self>, Vec<AbortHandle>)> {
+        let zone =
+            |steward: usize| steward % plan.kept.as_ref().map_or(1, |kept| kept.keep_zone.len()).max(1);
+        let mut pages = Vec::new();
+        for steward in 0..count {
+            pages.push(std::net::TcpListener::bind(((around.host)(6, steward), 0))?.local_addr()?);
+        }
+        let (mut all, mut handles) = (Vec::new(), Vec::new());
+        for own in 0..count {
+            let mut way = |to: usize, target| {
+                let (address, handle) =
+                    ways::open((around.host)(7, own), around.net, (zone(own), to), target)?;
+                handles.push(handle);
+                io::Result::Ok(address)
+            };
+            let mut text = format!(
+                "[steward]\nname = \"s{own}\"\nlisten = \"{}\"\ndata = {:?}\n\n[stewards]\n",
+                pages[own],
+                data(around.folder, own)
+            );
+            for (other, at) in pages.iter().enumerate() {
+                let at = if other == own { *at } else { way(zone(other), *at)? };
+                let _ = writeln!(text, "s{other} = \"{at}\"");
+            }
+            let _ =
+                writeln!(text, "\n[platform]\naddress = \"{}\"\n\n[evidence.sidecars]", around.platform.1);
+            for (number, name) in ZONES.iter().enumerate() {
+                let there = plan.sidecars.iter().enumerate().filter(|(_, spec)| spec.zone == number);
+                let mut ways = Vec::new();
+                for (sidecar, _) in there {
+                    ways.push(way(number, around.sidecars[sidecar])?.to_string());
+                }
+                if !ways.is_empty() {
+                    let _ = writeln!(text, "{name} = {ways:?}");
+                }
+            }
+            text += &agreement(plan.kept.as_ref());
+            text += more;
+            let folder = around.folder;
+            all.push(Mutex::new(Steward::start(own, &text, bringing.clone(), folder)?));
+        }
+        let (plan, clock, record) = (Arc::clone(plan), clock.clone(), record.clone());
+        let platform = around.platform.0;
+        Ok((Arc::new(Self { all, pages, plan, platform, clock, record }), handles))
+    }
+
+    /// Waits until one leads.
+    ///
+    /// # Errors
+    /// None does in time: the last words of each.
+    pub async fn ready(&self) -> Result<(), String> {
+        let until = Instant::now() + ELECTED_WITHIN;
+        while self.leader().await.is_none() {
+            if Instant::now() > until {
+                let mut words = String::from("no steward leads");
+                for steward in &self.all {
+                    let _ = write!(words, "; {}", steward.lock().await.last_line());
+                }
+                return Err(words);
+            }
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// Who may act, by its own word.
+    pub async fn leader(&self) -> Option<usize> {
+        for (number, at) in self.pages.iter().enumerate() {
+            let status = ask(*at, "GET", "/status", None, WITHIN).await;
+            if status.is_some_and(|(code, status)| code == 200 && status["acts"] == Value::Bool(true)) {
+                return Some(number);
+            }
+        }
+        None
+    }
+
+    /// Stops all of them. What is stopped goes on first.
+    pub async fn end(&self) {
+        for steward in &self.all {
+            steward.lock().await.stop().await;
+        }
+    }
+}
+
+fn data(folder: &Path, steward: usize) -> PathBuf {
+    folder.join(format!("s{steward}.data"))
+}
+
+/// The `[agreement]` section of what was agreed.
+fn agreement(kept: Option<&Kept>) -> String {
+    let Some(kept) = kept else { return String::new() };
+    let bound = kept.answered_within.saturating_sub(ACTS_WITHIN) / 1000;
+    let mut text = format!(
+        "\n[agreement]\nkeep = {}\nmost_away = {}\nevidence_bound_ms = {bound}\nrepair_ms = {REPAIR_MS}\n",
+        kept.keep, kept.most_away
+    );
+    text += "\n[agreement.keep_zone]\n";
+    for (zone, keep) in kept.keep_zone.iter().enumerate() {
+        let _ = writeln!(text, "{} = {keep}", ZONES[zone]);
+    }
+    text
+}
--- /dev/null
+++ b/crates/lab/src/stewards/faults.rs
@@ -0,0 +1,88 @@
+//! Faults of stewards, at a time or at a step of a window. Changes with what may happen to stewards.
+
+use super::{LOOK, Stewards, WITHIN};
+use crate::experiment::{StewardFault, StewardFaultKind, Who};
+use crate::page::ask;
+use crate::record::Seen;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Lets all faults happen.
+pub async fn trouble(stewards: Arc<Stewards>, faults: Vec<StewardFault>) {
+    let mut all = JoinSet::new();
+    for fault in faults {
+        let stewards = Arc::clone(&stewards);
+        all.spawn(async move { stewards.suffer(&fault).await });
+    }
+    while all.join_next().await.is_some() {}
+}
+
+impl Stewards {
+    /// Whether a seat of a window has come to that state, by any steward's word.
+    async fn has_come_to(&self, state: &str) -> bool {
+        for at in &self.pages {
+            let Some((200, windows)) = ask(*at, "GET", "/windows", None, WITHIN).await else { continue };
+            let seats =
+                windows.as_array().into_iter().flatten().filter_map(|w| w["seats"].as_array()).flatten();
+            if seats.into_iter().any(|seat| seat["state"] == state) {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn chosen(&self, who: Who) -> Vec<usize> {
+        let count = self.pages.len();
+        let leader = self.leader().await;
+        // The leader is one of a majority, so that there is one less to follow it.
+        let from = leader.unwrap_or(0);
+        let several = |many: usize| (0..many).map(|n| (from + n) % count).collect();
+        match who {
+            Who::Leader => vec![from],
+            Who::Follower => vec![(from + 1) % count],
+            Who::Majority => several(count / 2 + 1),
+            Who::All => several(count),
+        }
+    }
+
+    async fn suffer(&self, fault: &StewardFault) {
+        self.clock.until(u64::try_from(fault.at.0.as_micros()).unwrap_or(u64::MAX)).await;
+        if let Some(state) = &fault.on {
+            while !self.has_come_to(state).await {
+                sleep(LOOK).await;
+            }
+        }
+        let chosen = self.chosen(fault.who).await;
+        self.record.note(self.clock.now(), Seen::StewardFault { kind: fault.kind, count: chosen.len() });
+        for number in &chosen {
+            let mut steward = self.all[*number].lock().await;
+            match fault.kind {
+                StewardFaultKind::Kill => steward.kill().await,
+                StewardFaultKind::Stop => steward.pause(true),
+                StewardFaultKind::EmptyDisk | StewardFaultKind::TearDisk => {
+                    steward.kill().await;
+                    let done = match fault.kind {
+                        StewardFaultKind::EmptyDisk => steward.empty_disk(),
+                        _ => steward.tear_disk(),
+                    };
+                    if let Err(e) = done {
+                        let what = format!("the lab cannot change steward {number}'s files: {e}");
+                        self.record.note(self.clock.now(), Seen::StewardBroken { what });
+                    }
+                }
+            }
+        }
+        sleep(Duration::from_micros(u64::try_from(fault.lasts.0.as_micros()).unwrap_or(u64::MAX))).await;
+        for number in &chosen {
+            let mut steward = self.all[*number].lock().await;
+            if fault.kind == StewardFaultKind::Stop {
+                steward.pause(false);
+            } else if let Err(e) = steward.run() {
+                let what = format!("steward {number} cannot be started: {e}");
+                self.record.note(self.clock.now(), Seen::StewardBroken { what });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/stewards/process.rs
@@ -0,0 +1,104 @@
+//! One steward's process over all its lives, and its disk. Changes with what may happen to a process and its files.
+
+use super::data;
+use crate::supervisor::Bringing;
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::{self, OpenOptions};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::process::Child;
+use tokio::time::timeout;
+
+/// How long it may take to end when it is told to.
+const STOPS_WITHIN: Duration = Duration::from_secs(5);
+
+/// One steward.
+pub(super) struct Steward {
+    bringing: Bringing,
+    config: PathBuf,
+    log: PathBuf,
+    data: PathBuf,
+    child: Option<Child>,
+}
+
+impl Steward {
+    pub(super) fn start(number: usize, text: &str, bringing: Bringing, folder: &Path) -> io::Result<Self> {
+        let file = |kind: &str| folder.join(format!("s{number}.{kind}"));
+        let (config, log) = (file("toml"), file("log"));
+        fs::write(&config, text)?;
+        fs::File::create(&log)?;
+        let mut steward = Self { bringing, config, log, data: data(folder, number), child: None };
+        steward.run()?;
+        Ok(steward)
+    }
+
+    /// Starts it, where it does not run.
+    pub(super) fn run(&mut self) -> io::Result<()> {
+        if self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None))) {
+            return Ok(());
+        }
+        let log = || OpenOptions::new().append(true).open(&self.log).map(Stdio::from);
+        let mut command = self.bringing.command();
+        command.arg("--config").arg(&self.config).env_clear().stdin(Stdio::null());
+        command.stdout(log()?).stderr(log()?).kill_on_drop(true);
+        self.child = Some(command.spawn()?);
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
+        if let Some(pid) = id.and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Stops or continues it.
+    pub(super) fn pause(&self, on: bool) {
+        self.signal(if on { Signal::STOP } else { Signal::CONT });
+    }
+
+    /// Kills it.
+    pub(super) async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Tells it to stop, and kills it where it goes on for too long.
+    pub(super) async fn stop(&mut self) {
+        self.signal(Signal::CONT);
+        self.signal(Signal::TERM);
+        if let Some(mut child) = self.child.take()
+            && timeout(STOPS_WITHIN, child.wait()).await.is_err()
+        {
+            let _ = child.kill().await;
+        }
+    }
+
+    fn files(&self) -> Vec<PathBuf> {
+        if self.data.is_file() {
+            return vec![self.data.clone()];
+        }
+        fs::read_dir(&self.data).into_iter().flatten().flatten().map(|entry| entry.path()).collect()
+    }
+
+    /// Removes all that it keeps.
+    pub(super) fn empty_disk(&self) -> io::Result<()> {
+        self.files().iter().try_for_each(fs::remove_file)
+    }
+
+    /// Tears the largest file that it keeps in the middle.
+    pub(super) fn tear_disk(&self) -> io::Result<()> {
+        let size = |file: &PathBuf| fs::metadata(file).map_or(0, |meta| meta.len());
+        let Some(file) = self.files().into_iter().max_by_key(size) else { return Ok(()) };
+        OpenOptions::new().write(true).open(&file)?.set_len(size(&file) / 2)
+    }
+
+    /// Its log's last line.
+    pub(super) fn last_line(&self) -> String {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        text.lines().next_back().unwrap_or("it has said nothing").to_owned()
+    }
+}
--- a/crates/lab/src/supervisor/bringing.rs
+++ b/crates/lab/src/supervisor/bringing.rs
@@ -24,7 +24,7 @@
         Self { program, keeper: None, within: READY_WITHIN }
     }
 
-    pub(super) fn command(&self) -> Command {
+    pub(crate) fn command(&self) -> Command {
         match &self.keeper {
             Some(keeper) => {
                 let mut command = Command::new(keeper);
@@ -44,7 +44,7 @@
 ///
 /// # Errors
 /// The lab has ended already, or the program cannot be started. It does not come back otherwise.
-pub fn keep(parent: u32, program: &Path) -> io::Error {
+pub fn keep(parent: u32, program: &Path, words: &[String]) -> io::Error {
     if let Err(e) = set_parent_process_death_signal(Some(Signal::KILL)) {
         return e.into();
     }
@@ -52,5 +52,5 @@
     if getppid().map(Pid::as_raw_pid).and_then(|id| u32::try_from(id).ok()) != Some(parent) {
         return io::Error::other("the lab has ended");
     }
-    std::os::unix::process::CommandExt::exec(&mut std::process::Command::new(program))
+    std::os::unix::process::CommandExt::exec(std::process::Command::new(program).args(words))
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -159,6 +159,11 @@
         self.servers[server].up
     }
 
+    /// Whether it answers what it is sent.
+    pub fn answers(&self, server: usize) -> bool {
+        self.servers[server].up && !self.servers[server].silent
+    }
+
     /// Servers that were pushed over while cold, and when.
     pub fn fallen(&self) -> &[(Us, usize)] {
         &self.fallen
