--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -1,6 +1,7 @@
 //! A member as one state machine without I/O and clock: datagrams, evidence of its own, the list and the time go in;
 //! datagrams and words for the decision module come out. Changes with how those belong together.
 
+mod answers;
 mod ask;
 mod carry;
 mod inbound;
@@ -8,6 +9,7 @@
 mod membership;
 mod news;
 mod report;
+mod standing;
 mod witness;
 
 use crate::carrier::Carrier;
@@ -17,7 +19,10 @@
 use crate::evidence::{Process, Table};
 use crate::frame::Dropped;
 use crate::member::Member;
+use crate::roster::Roster;
 use crate::section::{FleetSection, micros};
+use crate::standing_views::Digest;
+use crate::standing_watch::Watch;
 use crate::tokens::Tokens;
 use crate::verdict::Weights;
 use crate::{Micros, SECOND, hash};
@@ -60,6 +65,7 @@
     origin: u64,
     zone: u64,
     sequence: u64,
+    began: Micros,
     rng: SmallRng,
     foca: Foca<Member, PostcardCodec, SmallRng, NoCustomBroadcast>,
     runtime: AccumulatingRuntime<Member>,
@@ -84,6 +90,17 @@
     overslept_until: Micros,
     resting: BTreeMap<usize, Resting>,
     news: VecDeque<News>,
+    stands: bool,
+    watch: Watch,
+    roster: Roster,
+    version: String,
+    list_seen: Option<Micros>,
+    /// Zones of endpoints, by their numbers.
+    placed: HashMap<usize, u64>,
+    digest: Option<Digest>,
+    next_view: Micros,
+    views_due: u8,
+    asked: u8,
     carrier: Carrier,
     effects: Effects,
     counts: Counts,
@@ -116,6 +133,7 @@
             origin,
             zone,
             sequence: 0,
+            began: now,
             rng: SmallRng::seed_from_u64(seed ^ 0x6c70_6600),
             foca,
             runtime: AccumulatingRuntime::new(),
@@ -139,6 +157,16 @@
             overslept_until: Micros::MIN,
             resting: BTreeMap::new(),
             news: VecDeque::new(),
+            stands: section.standing.enabled,
+            watch: Watch::new(now),
+            roster: Roster::default(),
+            version: String::new(),
+            list_seen: None,
+            placed: HashMap::new(),
+            digest: None,
+            next_view: now,
+            views_due: 0,
+            asked: 0,
             carrier: Carrier::new(now),
             effects: Effects::default(),
             counts: Counts::default(),
@@ -167,6 +195,9 @@
 
     /// Time has come.
     pub fn tick(&mut self, now: Micros) {
+        if self.stands {
+            self.watch.woke(now, self.next());
+        }
         while let Some((&(at, number), _)) = self.timers.first_key_value()
             && at <= now
         {
@@ -186,11 +217,13 @@
         if now >= self.next_ask && !self.seeds.is_empty() {
             self.ask_seeds(now);
         }
+        self.stand(now);
         if self.verdicts {
             self.look_at_all(now);
             self.ask(now);
         }
         self.gossip(now);
+        self.tell_views(now);
         let asks = self.verdicts && self.asks.0 > 0 && !self.drawn.is_empty();
         if asks || !self.news.is_empty() || !self.carrier.is_empty() || !self.resting.is_empty() {
             self.wake(now);
