--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -186,9 +186,8 @@
 
     /// Whether some server still holds this request.
     pub fn holds(&self, job: u64) -> bool {
-        let held =
-            |s: &Server| s.running.iter().any(|r| r.job.id == job) || s.waiting.iter().any(|w| w.id == job);
-        self.servers.iter().any(held)
+        let runs = |s: &Server| s.running.iter().any(|r| r.job.id == job);
+        self.servers.iter().any(|s| runs(s) || s.waiting.iter().any(|w| w.id == job))
     }
 
     /// Part of its speed that a server has at an instant: from the cold share it grows evenly.
