--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,12 +15,15 @@
 pub mod door;
 pub mod draw;
 pub mod experiment;
+pub mod fleetpages;
 pub mod fronts;
 pub mod liar;
 pub mod listing;
 pub mod live;
 pub mod net;
+pub mod observer;
 pub mod outcome;
+pub mod page;
 pub mod plan;
 pub mod platform;
 pub mod play;
@@ -31,8 +34,10 @@
 pub mod sim;
 pub mod site;
 pub mod statistics;
+pub mod stewards;
 pub mod supervisor;
 pub mod tally;
+pub mod ways;
 pub mod world;
 
 /// Microseconds: a duration, or the time since a play began.
