Part simulated time by concept, and let a listener hear what modules are told

A `Tap` hears what passes between sidecars and their modules, so that another version of the module can be told the same.

--- /dev/null
+++ b/crates/lab/src/sim/instance.rs
@@ -0,0 +1,77 @@
+//! One life of a sidecar in simulated time, and what of its configuration has a meaning there. Changes with what such a
+//! sidecar holds.
+
+use super::event::What;
+use crate::Us;
+use crate::experiment::Variant;
+use crate::fronts::{Address, section};
+use crate::plan::Plan;
+use crate::play::FLEET;
+use linenproxy::{AttemptNo, Balancer, RequestId};
+use linenproxy_common::config::{self, Configuration, Contradiction, Problem};
+use linenproxy_fleet::core::Core;
+use linenproxy_fleet::section::FleetSection;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+
+/// One life of a sidecar.
+pub(super) struct Instance {
+    pub(super) sidecar: usize,
+    pub(super) balancer: Balancer,
+    pub(super) member: Option<Box<Core>>,
+    pub(super) heard: usize,
+    pub(super) out: BTreeMap<(RequestId, AttemptNo), Out>,
+    pub(super) sends: BTreeMap<RequestId, AttemptNo>,
+    pub(super) idle: BTreeMap<usize, Vec<Us>>,
+    /// Stopped: what comes waits.
+    pub(super) frozen: Option<Vec<What>>,
+    pub(super) dead: bool,
+}
+
+pub(super) struct Out {
+    pub(super) server: usize,
+    pub(super) sent: Us,
+    pub(super) number: u64,
+}
+
+pub(super) struct Open {
+    pub(super) instance: usize,
+    pub(super) arrival: usize,
+    pub(super) attempt: u32,
+}
+
+/// What of a product configuration has a meaning here.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+struct Sections {
+    fleet: FleetSection,
+}
+
+impl Configuration for Sections {
+    fn check(&self) -> Result<(), Contradiction> {
+        self.fleet.check()
+    }
+}
+
+/// Where a sidecar's datagrams would arrive: nobody listens there.
+pub(super) fn address(sidecar: usize) -> SocketAddr {
+    let [_, a, b, c] = (sidecar as u32 + 1).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, a, b, c), 7946))
+}
+
+/// Each sidecar's section, where the variant has any.
+pub(super) fn sections(variant: &Variant, plan: &Plan) -> Result<Vec<FleetSection>, Problem> {
+    if !variant.config.contains(FLEET) {
+        return Ok(Vec::new());
+    }
+    let both = |sidecar| Address { own: address(sidecar), front: address(sidecar) };
+    let addresses: Vec<Address> = (0..plan.sidecars.len()).map(both).collect();
+    let name = Path::new(&variant.name);
+    let of = |(sidecar, spec): (usize, &crate::plan::SidecarSpec)| {
+        let text = variant.config.replace(FLEET, &section(&addresses, sidecar, spec.clock_offset_ms));
+        Ok(config::parse::<Sections>(name, &text)?.fleet)
+    };
+    plan.sidecars.iter().enumerate().map(of).collect()
+}
--- /dev/null
+++ b/crates/lab/src/sim/tap.rs
@@ -0,0 +1,11 @@
+//! What may be heard of a sidecar's module while a play in simulated time goes on. Changes with what passes there.
+
+use linenproxy::{Action, Event, Micros};
+
+/// Hears whatever passes between sidecars and their modules, in order. An instance is one life of a sidecar.
+pub trait Tap {
+    /// An instance has begun, with that seed and those settings (the object's text on one line).
+    fn started(&mut self, instance: usize, now: Micros, seed: u64, settings: &str);
+    /// Its module was told of `event` and asked for `actions`.
+    fn told(&mut self, instance: usize, now: Micros, event: &Event, actions: &[Action]);
+}
