Hold today's decisions against pinned revisions of this repository, line by line

Mixed fleets: a variant's `mix` gives a part of its sidecars the program of a pinned revision, and `mix.roll` rolls them forward and back.

--- /dev/null
+++ b/crates/lab/pairs/recorder/member.rs
@@ -0,0 +1,118 @@
+//! A member of a fleet on lines of text, without sockets and clock: what an earlier revision's member says and reads. This
+//! file is built as an example of `crates/fleet` of a pinned revision, and as a part of today's lab, so that it names only
+//! what all pinned revisions have; `later.rs` beside it is the part that they have not in common.
+//!
+//! Told, a line each: `start NAME ZONE INCARNATION SEED NOW ADDRESS SEEDS`, `list NOW NAMES`, `tick NOW`,
+//! `datagram NOW FROM HEX`, `witness NOW ENDPOINT SERVED`, `carry NOW KIND HEX`, `leave NOW`, `state`. Answered: any of
+//! `datagram TO HEX`, `word ENDPOINT REST`, `carried KIND HEX`, `state MEMBERS RECEIVED HEARD DROPPED`, then `.`.
+
+mod later;
+
+use linenproxy_fleet::core::{Core, Listed};
+use linenproxy_fleet::evidence::Sign;
+use linenproxy_fleet::section::FleetSection;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, Write};
+
+/// A member, once it has been started.
+#[derive(Default)]
+pub struct Session {
+    core: Option<Core>,
+}
+
+impl Session {
+    /// Does what a line says; the lines that come of it.
+    ///
+    /// # Errors
+    /// The line is none of those above.
+    pub fn line(&mut self, line: &str) -> Result<Vec<String>, String> {
+        let words: Vec<&str> = line.split(' ').collect();
+        if let ["start", name, zone, incarnation, seed, now, address, seeds] = words[..] {
+            let mut section =
+                FleetSection { enabled: true, listen: read(address)?, ..FleetSection::default() };
+            section.seeds = seeds.split(',').filter(|s| *s != "-").map(read).collect::<Result<_, _>>()?;
+            later::prepare(&mut section);
+            let core = Core::new(&section, name, zone, read(incarnation)?, read(seed)?, read(now)?);
+            self.core = Some(core);
+            return Ok(Vec::new());
+        }
+        let core = self.core.as_mut().ok_or("not started")?;
+        match words[..] {
+            ["list", now, names] => {
+                let listed = |(endpoint, name): (usize, &str)| {
+                    let name = name.to_owned();
+                    Listed { endpoint, name, started: None, ready: true }
+                };
+                core.listed(read(now)?, names.split(',').enumerate().map(listed).collect());
+            }
+            ["tick", now] => core.tick(read(now)?),
+            ["datagram", now, from, hex] => core.datagram(read(now)?, read(from)?, &bytes(hex)?),
+            ["witness", now, endpoint, served] => {
+                let sign = if served == "1" { Sign::Well } else { Sign::Sick };
+                core.witness(read(now)?, read(endpoint)?, sign);
+            }
+            ["carry", now, kind, hex] => later::carry(core, read(now)?, read(kind)?, &bytes(hex)?),
+            ["leave", now] => core.leave(read(now)?),
+            ["state"] => {
+                let counts = core.counts();
+                let dropped: Vec<String> = counts.dropped.iter().map(u64::to_string).collect();
+                let (received, heard) = (counts.received, counts.heard);
+                return Ok(vec![format!(
+                    "state {} {received} {heard} {}",
+                    core.members(),
+                    dropped.join(",")
+                )]);
+            }
+            _ => return Err(format!("cannot read {line:?}")),
+        }
+        let effects = core.effects();
+        let mut answers = later::carried(&effects);
+        answers.extend(effects.datagrams.iter().map(|(to, bytes)| format!("datagram {to} {}", hex(bytes))));
+        answers.extend(effects.words.iter().map(|word| format!("word {} {:?}", word.endpoint, word.rest)));
+        Ok(answers)
+    }
+}
+
+/// Serves one member until the end of input.
+///
+/// # Errors
+/// A line cannot be read, or a pipe broke.
+pub fn serve(input: impl BufRead, mut output: impl Write) -> io::Result<()> {
+    let mut session = Session::default();
+    for line in input.lines() {
+        let answers = session.line(&line?).map_err(io::Error::other)?;
+        for answer in answers {
+            writeln!(output, "{answer}")?;
+        }
+        writeln!(output, ".")?;
+        output.flush()?;
+    }
+    Ok(())
+}
+
+fn read<T: std::str::FromStr>(word: &str) -> Result<T, String> {
+    word.parse().map_err(|_| format!("cannot read {word:?}"))
+}
+
+/// Bytes as text.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::with_capacity(2 * bytes.len()), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+/// Text as bytes.
+///
+/// # Errors
+/// It is none.
+pub fn bytes(hex: &str) -> Result<Vec<u8>, String> {
+    let byte = |at: usize| hex.get(at..at + 2).and_then(|two| u8::from_str_radix(two, 16).ok());
+    let all = (0..hex.len()).step_by(2).map(byte).collect::<Option<Vec<u8>>>();
+    all.ok_or_else(|| "not hexadecimal".to_owned())
+}
+
+#[allow(dead_code, reason = "the example's; the lab takes the member itself")]
+fn main() -> io::Result<()> {
+    serve(io::stdin().lock(), io::stdout().lock())
+}
--- a/crates/lab/src/bin/linenproxy-lab/call.rs
+++ b/crates/lab/src/bin/linenproxy-lab/call.rs
@@ -1,5 +1,6 @@
 //! The words of the lab's command line. Changes with what people can ask for.
 
+use crate::pair::Pair;
 use clap::{Args, Parser, Subcommand};
 use linenproxy_common::units::Time;
 use linenproxy_lab::supervisor::KEEP;
@@ -25,6 +26,12 @@
     Sim(Sim),
     /// Play an experiment with two builds side by side: the programs take the variants' place.
     Compare(Compare),
+    /// Hold an earlier revision of this repository against today's; see docs/versions.md.
+    Pair {
+        /// What is to be done.
+        #[command(subcommand)]
+        what: Pair,
+    },
     /// Become a program that ends with the lab, however that ends; the lab starts its sidecars by it.
     #[command(name = KEEP, hide = true)]
     Keep {
@@ -89,6 +96,9 @@
 
 #[derive(Args)]
 pub struct Run {
+    /// Where pinned revisions are built, for experiments that mix versions.
+    #[arg(long, value_name = "DIR", default_value = "target/pairs")]
+    pub builds: PathBuf,
     /// How it is played.
     #[command(flatten)]
     pub played: Played,
--- a/crates/lab/src/bin/linenproxy-lab/main.rs
+++ b/crates/lab/src/bin/linenproxy-lab/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod call;
+mod pair;
 mod table;
 mod up;
 
@@ -11,6 +12,7 @@
 use linenproxy_common::units::Time;
 use linenproxy_lab::comparison::{Order, compare};
 use linenproxy_lab::experiment::{Experiment, Variant};
+use linenproxy_lab::pairs::builds::folder;
 use linenproxy_lab::play::{Launch, Progress};
 use linenproxy_lab::report::html;
 use linenproxy_lab::supervisor::{Bringing, keep};
@@ -75,7 +77,11 @@
         What::Up(up) => bring_up(up).await,
         What::Run(run) => {
             let launch = Some(kept(program(run.program)?, run.played.ready_within));
-            let experiment = read(&run.played.file)?;
+            let mut experiment = read(&run.played.file)?;
+            for mix in experiment.variant.iter_mut().filter_map(|variant| variant.mix.as_mut()) {
+                let built = folder(&run.builds, &mix.revision).join("tinflow");
+                mix.program = Some(program(mix.program.take().or(Some(built)))?);
+            }
             played(&experiment, &run.played, launch).await
         }
         What::Sim(sim) => {
@@ -100,6 +106,7 @@
             played(&experiment, &both.played, Some(kept(both.new.clone(), both.played.ready_within))).await
         }
         What::Keep { .. } => Ok(Exit::Usage),
+        What::Pair { what } => pair::pair(what),
         What::Check { files } => {
             for file in &files {
                 read(file)?;
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -4,11 +4,13 @@
 mod check;
 mod fault;
 mod maintenance;
+mod mix;
 
 use crate::outcome::Measure;
 pub use fault::{Fault, FaultKind, Way};
 use linenproxy_common::units::Time;
 pub use maintenance::{Agreed, Carried, StewardFault, StewardFaultKind, Stewards, Who, Window};
+pub use mix::{Mix, Roll, Version};
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
 
@@ -107,6 +109,9 @@
     pub config: String,
     /// Who carries the experiment's windows out.
     pub windows: Carried,
+    /// Which of its sidecars run an earlier version.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub mix: Option<Mix>,
 }
 
 /// What has to hold.
--- a/crates/lab/src/experiment/check.rs
+++ b/crates/lab/src/experiment/check.rs
@@ -107,6 +107,7 @@
                 return wrong("bounds.measure", "least or most is needed");
             }
         }
+        self.variant.iter().filter_map(|v| v.mix.as_ref()).try_for_each(|mix| mix.check(l.lasts))?;
         names.sort_unstable();
         if names.windows(2).any(|two| two[0] == two[1]) {
             return wrong("variant", "two have the same name");
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod observer;
 pub mod outcome;
 pub mod page;
+pub mod pairs;
 pub mod plan;
 pub mod platform;
 pub mod play;
--- /dev/null
+++ b/crates/lab/src/pairs.rs
@@ -0,0 +1,11 @@
+//! An earlier revision of this repository and today's, held against each other: pinned revisions, their builds, the same
+//! histories to both, members of both in one fleet. Changes with what two versions are held to.
+
+pub mod builds;
+pub mod feed;
+pub mod histories;
+pub mod lan;
+#[path = "../pairs/recorder/member.rs"]
+pub mod member;
+pub mod pins;
+pub mod wire;
--- /dev/null
+++ b/crates/lab/src/pairs/pins.rs
@@ -0,0 +1,112 @@
+//! The form of `pairs/pins.toml`: which revisions are held against today's, and which differences are meant. Changes with
+//! what is pinned; docs/versions.md says how the file is moved on.
+
+use super::histories::Kind;
+use linenproxy_common::config::{self, Configuration, Contradiction, Problem};
+use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+
+/// The pinned revisions.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Pins {
+    /// The one whose recorded decisions and bytes lie beside the file.
+    pub recorded: String,
+    /// Each of them.
+    pub revision: Vec<Revision>,
+}
+
+/// A revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Revision {
+    /// Its name here, and the name of its folder.
+    pub name: String,
+    /// Its commit, in full.
+    pub commit: String,
+    /// Why this one.
+    pub about: String,
+    /// What is built of it: package and program.
+    pub program: Vec<Program>,
+    /// Differences of its decisions from today's that are meant.
+    pub difference: Vec<Difference>,
+}
+
+/// A program of a revision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Program {
+    /// Its package.
+    pub package: String,
+    /// Its name.
+    pub name: String,
+}
+
+/// A difference that is meant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Difference {
+    /// The commit that made it, in full.
+    pub commit: String,
+    /// Why.
+    pub why: String,
+    /// The histories that it may change; the others stay equal to the bit.
+    pub histories: Vec<Kind>,
+}
+
+/// Letters of a commit in full.
+const COMMIT: usize = 40;
+
+impl Configuration for Pins {
+    fn check(&self) -> Result<(), Contradiction> {
+        let wrong = |key: &str, what: &str| Err(Contradiction::new(key, what));
+        let commit = |text: &str| text.len() == COMMIT && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let word =
+            |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
+        for (number, revision) in self.revision.iter().enumerate() {
+            if !word(&revision.name) || self.revision[..number].iter().any(|r| r.name == revision.name) {
+                return wrong("revision.name", "letters, digits and hyphens, and no name twice");
+            }
+            if !commit(&revision.commit) || !revision.difference.iter().all(|d| commit(&d.commit)) {
+                return wrong("revision.commit", "a commit in full, 40 hexadecimal digits");
+            }
+            if !revision.program.iter().all(|p| word(&p.package) && word(&p.name)) {
+                return wrong("revision.program", "package and name: letters, digits and hyphens");
+            }
+            if revision.difference.iter().any(|d| d.why.trim().is_empty() || d.histories.is_empty()) {
+                return wrong("revision.difference", "a reason, and the histories that it may change");
+            }
+        }
+        if self.revision(&self.recorded).is_none() {
+            return wrong("recorded", "must name a revision");
+        }
+        Ok(())
+    }
+}
+
+impl Pins {
+    /// Where the pinned file of this repository lies.
+    pub fn place() -> PathBuf {
+        Path::new(env!("CARGO_MANIFEST_DIR")).join("pairs/pins.toml")
+    }
+
+    /// Reads one.
+    ///
+    /// # Errors
+    /// It cannot be read or used.
+    pub fn load(file: &Path) -> Result<Self, Problem> {
+        config::load(file)
+    }
+
+    /// The revision of that name.
+    pub fn revision(&self, name: &str) -> Option<&Revision> {
+        self.revision.iter().find(|revision| revision.name == name)
+    }
+}
+
+impl Revision {
+    /// Whether its decisions in such a history may differ from today's.
+    pub fn may_differ(&self, kind: Kind) -> bool {
+        self.difference.iter().any(|difference| difference.histories.contains(&kind))
+    }
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -2,6 +2,7 @@
 //! everything, and hands over the record. Changes with what belongs to a play.
 
 mod build;
+mod mix;
 mod stage;
 
 use crate::apps::Apps;
@@ -42,6 +43,8 @@
     Io(String, io::Error),
     /// The stewards did not begin to lead.
     Stewards(String),
+    /// The program of an earlier revision is not there.
+    Unbuilt(String),
     /// A sidecar did not start.
     Start(usize, String),
 }
@@ -51,6 +54,7 @@
         match self {
             Self::Io(what, e) => write!(f, "{what}: {e}"),
             Self::Stewards(what) => f.write_str(what),
+            Self::Unbuilt(revision) => write!(f, "no program of revision {revision}: see pair build"),
             Self::Start(sidecar, what) => write!(f, "sidecar {sidecar} {what}"),
         }
     }
@@ -110,6 +114,15 @@
             }
         }
     });
+    if let Some(mix) = &variant.mix {
+        let (stage, changes) = (Arc::clone(&stage), mix::changes(mix, plan));
+        tasks.spawn(async move {
+            for (at, sidecar, to) in changes {
+                stage.clock.until(at).await;
+                stage.restart(sidecar, true, Some(to)).await;
+            }
+        });
+    }
     let (clock, platform) = (stage.clock.clone(), Arc::clone(&stage.platform));
     tasks.spawn(carry_out(Arc::clone(plan), clock, platform, variant.windows));
     if let (Some(stewards), Some(asked)) = (&stage.stewards, &experiment.stewards) {
--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -1,11 +1,12 @@
 //! Brings up everything that a play needs. Changes with what stands in for what.
 
+use super::mix::begins_old;
 use super::stage::{Sidecar, Stage};
 use super::{FLEET, Launch, METRICS, PlayError, Tasks};
 use crate::agent::Agent;
 use crate::catalogue::Catalogue;
 use crate::datagrams::Datagrams;
-use crate::experiment::{Carried, Experiment, FaultKind, Variant};
+use crate::experiment::{Carried, Experiment, FaultKind, Variant, Version};
 use crate::fleetpages::Truth;
 use crate::fronts::Fronts;
 use crate::liar::lie;
@@ -112,13 +113,16 @@
                 bringing.program = variant.program.clone().unwrap_or(bringing.program);
                 let program = bringing.program.clone();
                 let mut variant = variant.clone();
-                if let Some(fronts) = &fronts {
-                    let section = fronts.section(sidecar, spec.clock_offset_ms);
-                    variant.config = variant.config.replace(FLEET, &section);
-                }
                 let metrics = free(host(5, sidecar)).map_err(io("no address for a sidecar's pages"))?;
                 pages.push(metrics);
-                let asked = variant.windows == Carried::Asked && !variant.config.contains(METRICS);
+                let section = fronts.as_ref().map(|f| f.section(sidecar, spec.clock_offset_ms));
+                let filled = |config: &str| {
+                    let config = config.replace(METRICS, &metrics.to_string());
+                    section.as_ref().map_or(config.clone(), |section| config.replace(FLEET, section))
+                };
+                let whole = std::mem::take(&mut variant.config);
+                variant.config = filled(&whole);
+                let asked = variant.windows == Carried::Asked && !whole.contains(METRICS);
                 if asked {
                     let listener = tokio::net::TcpListener::bind(metrics).await;
                     let listener = listener.map_err(io("no socket for a sidecar's pages"))?;
@@ -126,14 +130,23 @@
                     let truth = Truth { plan, clock: clock.clone(), servers: Arc::clone(&servers), platform };
                     tasks.spawn(truth.tell(sidecar, listener));
                 }
-                if variant.config.contains(METRICS) {
-                    variant.config = variant.config.replace(METRICS, &metrics.to_string());
+                if whole.contains(METRICS) {
                     tasks.spawn(observe(sidecar, metrics, clock.clone(), record.clone()));
                 }
                 let seed = plan.seed.wrapping_add(sidecar as u64);
                 let both = (clock.clone(), record.clone());
                 let supervised = Supervised::new(told, bringing, &variant, folder, seed, both);
                 let mut supervised = supervised.map_err(io("cannot write a sidecar's files"))?;
+                if let Some(mix) = &variant.mix {
+                    let program =
+                        mix.program.clone().ok_or_else(|| PlayError::Unbuilt(mix.revision.clone()))?;
+                    let config = filled(mix.config.as_deref().unwrap_or(&whole));
+                    let beside = supervised.beside(program, &config, folder);
+                    beside.map_err(io("cannot write a sidecar's files"))?;
+                    if begins_old(mix, plan, sidecar) {
+                        supervised.turn(Version::Old);
+                    }
+                }
                 let cannot = || format!("cannot start {}", program.display());
                 supervised.start().map_err(|e| PlayError::Io(cannot(), e))?;
                 Sidecar::Process(listen, Box::new(Mutex::new(supervised)))
--- a/crates/lab/src/play/stage.rs
+++ b/crates/lab/src/play/stage.rs
@@ -1,6 +1,7 @@
 //! What is there while a play goes on, and what each step does to it. Changes with what a step does.
 
 use crate::datagrams::Datagrams;
+use crate::experiment::Version;
 use crate::fronts::Fronts;
 use crate::net::{Clock, Net};
 use crate::plan::{Mood, Step};
@@ -81,13 +82,13 @@
                     process.lock().await.kill().await;
                 }
             }
-            Step::SidecarStart(sidecar) => self.restart(sidecar, false).await,
-            Step::SidecarRestart(sidecar) => self.restart(sidecar, true).await,
+            Step::SidecarStart(sidecar) => self.restart(sidecar, false, None).await,
+            Step::SidecarRestart(sidecar) => self.restart(sidecar, true, None).await,
         }
     }
 
-    /// Starts a sidecar, after a planned stop where it runs. Both take their time, and other steps do not wait.
-    async fn restart(self: &Arc<Self>, sidecar: usize, stop: bool) {
+    /// Starts a sidecar, in that version where one is named, after a planned stop where it runs. Both take their time, and other steps do not wait.
+    pub(super) async fn restart(self: &Arc<Self>, sidecar: usize, stop: bool, to: Option<Version>) {
         let this = Arc::clone(self);
         self.under_way.lock().await.spawn(async move {
             let Some(process) = this.process(sidecar) else { return };
@@ -95,6 +96,9 @@
             if stop {
                 process.stop().await;
             }
+            if let Some(to) = to {
+                process.turn(to);
+            }
             this.start(sidecar, &mut process).await;
         });
     }
--- a/crates/lab/src/supervisor.rs
+++ b/crates/lab/src/supervisor.rs
@@ -2,6 +2,7 @@
 //! processes (DEPLOY, PROTOCOL).
 
 mod bringing;
+mod release;
 mod told;
 
 use crate::experiment::Variant;
@@ -9,6 +10,7 @@
 use crate::record::{Record, Seen};
 pub use bringing::{Bringing, KEEP, keep};
 use linenproxy_common::process::usage_of;
+use release::Other;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::fs::{self, File, OpenOptions};
@@ -37,6 +39,7 @@
     told: Told,
     bringing: Bringing,
     product: Option<PathBuf>,
+    other: Option<Other>,
     platform: PathBuf,
     log: PathBuf,
     seed: u64,
@@ -69,20 +72,14 @@
         (clock, record): (Clock, Record),
     ) -> io::Result<Self> {
         let name = format!("n{}", told.sidecar);
-        let product = match variant.config.trim() {
-            "" => None,
-            text => {
-                let file = folder.join(format!("{name}.toml"));
-                fs::write(&file, text.replace("{sidecar}", &told.sidecar.to_string()))?;
-                Some(file)
-            }
-        };
+        let product = release::write(folder, &name, told.sidecar, &variant.config)?;
         let (platform, log) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
         File::create(&log)?;
         Ok(Self {
             told,
             bringing,
             product,
+            other: None,
             platform,
             log,
             seed,
