Call back what would be away in a blackout that is agreed on later; keep a late server's seat

A list that was empty for one moment closed every late seat whose planned end lay a repair's time back, though its return was not confirmed: the time was counted from the end, not from when the list dropped it (advance.rs). Both tests fail without the change.

--- a/crates/maintenance/src/advance.rs
+++ b/crates/maintenance/src/advance.rs
@@ -57,8 +57,8 @@
     /// it come back, then only by fresh evidence.
     fn is_lost(&self, agreement: &Agreement, window: &Window, seat: &Seat) -> bool {
         let end = seat.start_ms.unwrap_or(0).saturating_add(window.request.span_ms());
-        let given_up = self.at_ms.saturating_sub(end) > agreement.repair_ms;
-        seat.late && given_up && !self.servers.contains_key(&seat.server)
+        let given_up = |since: i64| self.at_ms.saturating_sub(since.max(end)) > agreement.repair_ms;
+        seat.late && seat.unlisted_ms.is_some_and(given_up)
     }
 
     /// What has run out: the time of windows, of the wait for a clear, of a request that found no place.
--- a/crates/maintenance/src/callback.rs
+++ b/crates/maintenance/src/callback.rs
@@ -11,11 +11,13 @@
     /// window that can't be split all go with the first. Whose return would help no broken limit, as it is known
     /// to be dead or counts under none, stays as it is; one that is not heard of is called, and not counted on.
     pub(crate) fn call_back(&mut self, agreement: &Agreement) {
-        if self.in_blackout() {
-            for (id, index) in self.not_taken(|_| true) {
-                self.send_back(id, index, State::CalledBack, "a blackout began");
-            }
-            return;
+        let meets = |(id, index): &(u64, usize)| {
+            let window = self.windows.get(id);
+            window.is_some_and(|window| self.meets_blackout(agreement, window, &window.seats[*index]))
+        };
+        let met: Vec<(u64, usize)> = self.not_taken(|_| true).into_iter().filter(meets).collect();
+        for (id, index) in met {
+            self.send_back(id, index, State::CalledBack, "a blackout is too near");
         }
         let mut calls: Vec<(u64, usize)> = Vec::new();
         let mut ledger = self.ledger(agreement, self.at_ms);
--- a/crates/maintenance/src/due.rs
+++ b/crates/maintenance/src/due.rs
@@ -2,6 +2,7 @@
 
 use crate::act::Act;
 use crate::event::Step;
+use crate::grant::hard_end;
 use crate::machine::Machine;
 use crate::window::State;
 
@@ -13,7 +14,6 @@
         let Some(agreement) = &self.agreement else { return Vec::new() };
         let now_ms = now_ms.max(self.at_ms);
         let ledger = self.ledger(agreement, now_ms);
-        let blackout = self.blacked_out(agreement, now_ms, now_ms.saturating_add(1));
         let mut acts = Vec::new();
         for window in self.windows.values() {
             for seat in &window.seats {
@@ -30,8 +30,9 @@
                     Step::Take => self.holds_for(&ledger, &seat.server),
                     Step::Return | Step::CallBack => true,
                 };
+                let until_ms = hard_end(agreement, window, seat).max(now_ms.saturating_add(1));
                 let out = matches!(step, Step::Drain | Step::Take);
-                if !bears || out && (blackout || window.cancelled) {
+                if !bears || out && (window.cancelled || self.blacked_out(agreement, now_ms, until_ms)) {
                     continue;
                 }
                 acts.push(Act { window: window.id, server: seat.server.clone(), step, token: seat.token });
--- a/crates/maintenance/src/grant.rs
+++ b/crates/maintenance/src/grant.rs
@@ -4,7 +4,20 @@
 use crate::event::Health;
 use crate::ledger::Ledger;
 use crate::machine::Machine;
-use crate::window::{Seat, State};
+use crate::window::{Seat, State, Window};
+
+/// The part of a window's time that no blackout may touch, in milliseconds.
+pub(crate) fn hard_ms(agreement: &Agreement, window: &Window) -> i64 {
+    match agreement.overrun_may_enter_blackout {
+        true => window.request.length_ms,
+        false => window.request.span_ms(),
+    }
+}
+
+/// The end of that part for a seat that was granted, in milliseconds of Unix time.
+pub(crate) fn hard_end(agreement: &Agreement, window: &Window, seat: &Seat) -> i64 {
+    seat.start_ms.unwrap_or(0).saturating_add(hard_ms(agreement, window))
+}
 
 impl Machine {
     /// Whether `[from, until)` touches a blackout, or a time of which blackouts are not known.
@@ -17,10 +30,11 @@
         until_ms > self.calendar.until_ms || spans.get(after).is_some_and(|span| span.from_ms < until_ms)
     }
 
-    /// Whether a blackout is on that is known.
-    pub(crate) fn in_blackout(&self) -> bool {
+    /// Whether a known blackout begins before a seat's time is over that no blackout may touch, or is on.
+    pub(crate) fn meets_blackout(&self, agreement: &Agreement, window: &Window, seat: &Seat) -> bool {
+        let until_ms = hard_end(agreement, window, seat).max(self.at_ms.saturating_add(1));
         let after = self.calendar.spans.partition_point(|span| span.until_ms <= self.at_ms);
-        self.calendar.spans.get(after).is_some_and(|span| span.from_ms <= self.at_ms)
+        self.calendar.spans.get(after).is_some_and(|span| span.from_ms < until_ms)
     }
 
     /// Whether the limits that a server counts under hold; all of them where the list does not name it any more, as
@@ -61,10 +75,7 @@
 
     fn grantable(&self, agreement: &Agreement, id: u64, seats: &[usize]) -> bool {
         let Some(window) = self.windows.get(&id) else { return false };
-        let hard = match agreement.overrun_may_enter_blackout {
-            true => window.request.length_ms,
-            false => window.request.span_ms(),
-        };
+        let hard = hard_ms(agreement, window);
         if self.blacked_out(agreement, self.at_ms, self.at_ms.saturating_add(hard)) {
             return false;
         }
--- a/crates/maintenance/src/plan.rs
+++ b/crates/maintenance/src/plan.rs
@@ -4,6 +4,7 @@
 
 use crate::agreement::Agreement;
 use crate::calendar::Span;
+use crate::grant::hard_ms;
 use crate::ledger::Ledger;
 use crate::machine::Machine;
 use crate::timeline::{Block, Load, Piece, Timeline};
@@ -76,10 +77,7 @@
                     lower_ms: request.earliest_ms.max(self.at_ms),
                     upper_ms: request.latest_ms.saturating_sub(request.span_ms()),
                     span_ms: request.span_ms(),
-                    hard_ms: match agreement.overrun_may_enter_blackout {
-                        true => request.length_ms,
-                        false => request.span_ms(),
-                    },
+                    hard_ms: hard_ms(agreement, window),
                     listed: true,
                 };
                 for name in &piece.servers {
--- a/crates/maintenance/src/servers.rs
+++ b/crates/maintenance/src/servers.rs
@@ -92,6 +92,10 @@
         }
         let zones: BTreeSet<&str> = self.servers.values().map(|known| known.zone.as_str()).collect();
         self.turns.retain(|zone, _| zones.contains(zone.as_str()));
+        for seat in self.windows.values_mut().flat_map(|window| &mut window.seats) {
+            let listed = self.servers.contains_key(&seat.server);
+            seat.unlisted_ms = if listed { None } else { seat.unlisted_ms.or(Some(self.at_ms)) };
+        }
         self.changed = true;
         Outcome::Taken
     }
--- a/crates/maintenance/src/window.rs
+++ b/crates/maintenance/src/window.rs
@@ -38,6 +38,8 @@
     pub least_start: u64,
     /// Whether it is over its length and overrun.
     pub late: bool,
+    /// Since when the list does not name its server, in milliseconds of Unix time; none while it does.
+    pub unlisted_ms: Option<i64>,
     /// How often it was called back.
     pub called_back: u32,
     /// Why it was called back or closed before its work, in words; empty if neither.
@@ -90,6 +92,7 @@
             returned_ms: None,
             least_start: 0,
             late: false,
+            unlisted_ms: None,
             called_back: 0,
             reason: String::new(),
         }
--- a/crates/maintenance/tests/rules.rs
+++ b/crates/maintenance/tests/rules.rs
@@ -2,87 +2,9 @@
 
 mod world;
 
-use linenproxy_maintenance::{
-    Act, Agreement, Blackout, Event, Every, Machine, Outcome, Request, SeatView, State, Step, Target, Why,
-};
-use world::{World, agreement};
-
-const START_MS: i64 = 1_800_000_000_000;
-
-struct Stage {
-    world: World,
-    machine: Machine,
-}
-
-impl Stage {
-    /// Four servers of weight 1 in zones a and b.
-    fn new(agreement: Agreement) -> Self {
-        let mut world = World { now: START_MS, ..World::default() };
-        for (name, zone) in [("s0", "a"), ("s1", "b"), ("s2", "a"), ("s3", "b")] {
-            world.add(name, zone, "g", 1);
-        }
-        let mut stage = Stage { machine: Machine::new(), world };
-        assert_eq!(stage.apply(Event::Agreement(agreement)), Outcome::Taken);
-        if let Some(calendar) = stage.machine.calendar_due(START_MS) {
-            stage.apply(calendar);
-        }
-        stage.apply(stage.world.list());
-        stage.hear();
-        stage
-    }
-
-    fn apply(&mut self, event: Event) -> Outcome {
-        self.machine.apply(self.world.now, event)
-    }
-
-    fn hear(&mut self) {
-        let words = self.world.servers.keys().map(|name| self.world.word(name, 0)).collect();
-        self.apply(Event::Evidence(words));
-    }
-
-    fn pass(&mut self, ms: i64) {
-        self.world.pass(ms);
-        self.hear();
-    }
-
-    fn ask(&mut self, name: &str, servers: &[&str], change: impl FnOnce(&mut Request)) -> Outcome {
-        let mut request = Request {
-            name: name.into(),
-            target: Target::Servers(servers.iter().map(|name| name.to_string()).collect()),
-            earliest_ms: self.world.now,
-            latest_ms: self.world.now + 3_600_000,
-            length_ms: 60_000,
-            overrun_ms: 30_000,
-            priority: 0,
-            split: true,
-        };
-        change(&mut request);
-        self.apply(Event::Ask(request))
-    }
-
-    fn seat(&self, server: &str) -> SeatView {
-        let mut seats = self.machine.windows().into_iter().flat_map(|w| w.seats);
-        seats.rfind(|seat| seat.server == server).expect("a seat of that server")
-    }
-
-    /// Does what is due, except for what `stop` names.
-    fn act(&mut self, stop: &[Step]) {
-        for act in self.machine.due(self.world.now) {
-            if stop.contains(&act.step) {
-                continue;
-            }
-            let result = self.world.act(&act, 0, true);
-            let Act { window, server, step, token } = act;
-            self.world.cleared.extend((step == Step::Drain).then_some(token));
-            self.apply(Event::Acted { window, server, step, token, result });
-        }
-    }
-
-    fn clear(&mut self, server: &str) {
-        let (window, epoch) = (self.machine.windows()[0].window, self.seat(server).token);
-        self.apply(Event::Clear { window, server: server.into(), epoch });
-    }
-}
+use linenproxy_maintenance::{Blackout, Event, Every, Machine, Outcome, State, Step, Why};
+use world::agreement;
+use world::stage::{START_MS, Stage};
 
 #[test]
 fn a_death_stops_the_booked_and_calls_back_the_lowest_and_latest_first() {
@@ -219,3 +141,54 @@
     stage.apply(stage.world.list());
     assert!(started(&stage, "s1") < started(&stage, "s2"));
 }
+
+#[test]
+fn a_blackout_that_is_agreed_on_later_calls_back_what_would_be_away_in_it() {
+    let mut agreed = agreement(2, &[], 2);
+    let mut stage = Stage::new(agreed.clone());
+    stage.ask("one", &["s0"], |r| r.latest_ms += 3_600_000);
+    stage.ask("two", &["s1"], |r| r.latest_ms += 3_600_000);
+    stage.act(&[]);
+    stage.clear("s0");
+    stage.act(&[]);
+    // In half of the windows' length from now on; what is away already runs to its end.
+    agreed.blackouts = vec![blackout("2027-01-15T09:00:30", "2027-01-15T09:10", Every::Once)];
+    stage.apply(Event::Agreement(agreed));
+    let (window, epoch) = (stage.machine.windows()[1].window, stage.seat("s1").token);
+    stage.apply(Event::Clear { window, server: "s1".into(), epoch });
+    assert_eq!(stage.machine.due(START_MS), [], "nobody knows the blackouts' times yet");
+    let calendar = stage.machine.calendar_due(START_MS).expect("a calendar");
+    stage.apply(calendar);
+    assert_eq!((stage.seat("s0").state, stage.seat("s1").state), (State::Away, State::CalledBack));
+    stage.act(&[]);
+    stage.pass(1_000);
+    assert_eq!(stage.seat("s1").start_ms, Some(START_MS + 600_000));
+}
+
+#[test]
+fn a_list_that_is_empty_for_a_moment_gives_up_no_server() {
+    let mut stage = Stage::new(agreement(3, &[], 1));
+    stage.ask("one", &["s0"], |_| ());
+    stage.act(&[]);
+    stage.clear("s0");
+    stage.act(&[]);
+    // Nobody answers to the return for longer than its time and a repair.
+    stage.pass(200_000);
+    assert!(stage.seat("s0").late);
+    stage.apply(Event::Servers(Vec::new()));
+    assert_eq!(stage.seat("s0").state, State::Returning);
+    stage.apply(stage.world.list());
+    stage.hear();
+    let due: Vec<Step> = stage.machine.due(stage.world.now).iter().map(|act| act.step).collect();
+    assert_eq!(due, [Step::Return]);
+    // One that is gone from the list for the time of a repair is nobody's any more.
+    let rest = |stage: &Stage| match stage.world.list() {
+        Event::Servers(list) => Event::Servers(list.into_iter().filter(|s| s.name != "s0").collect()),
+        other => other,
+    };
+    stage.apply(rest(&stage));
+    stage.pass(60_000);
+    assert_eq!(stage.seat("s0").state, State::Returning);
+    stage.pass(1_000);
+    assert_eq!(stage.seat("s0").state, State::Closed);
+}
--- a/crates/maintenance/tests/world/mod.rs
+++ b/crates/maintenance/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! Changes with what the tests' world is made of: servers, the thing acted on, and a network that loses and repeats.
 #![allow(dead_code)]
 
+pub mod stage;
+
 use std::collections::BTreeMap;
 
 use linenproxy_maintenance::{Act, Agreement, Answer, Event, Health, Server, Step, Word};
--- /dev/null
+++ b/crates/maintenance/tests/world/stage.rs
@@ -0,0 +1,83 @@
+//! Changes with how a test plays a few servers by hand.
+
+use linenproxy_maintenance::{Act, Agreement, Event, Machine, Outcome, Request, SeatView, Step, Target};
+
+use super::World;
+
+/// 2027-01-15T08:00Z, 09:00 in Ljubljana.
+pub const START_MS: i64 = 1_800_000_000_000;
+
+pub struct Stage {
+    pub world: World,
+    pub machine: Machine,
+}
+
+impl Stage {
+    /// Four servers of weight 1 in zones a and b.
+    pub fn new(agreement: Agreement) -> Self {
+        let mut world = World { now: START_MS, ..World::default() };
+        for (name, zone) in [("s0", "a"), ("s1", "b"), ("s2", "a"), ("s3", "b")] {
+            world.add(name, zone, "g", 1);
+        }
+        let mut stage = Stage { machine: Machine::new(), world };
+        assert_eq!(stage.apply(Event::Agreement(agreement)), Outcome::Taken);
+        if let Some(calendar) = stage.machine.calendar_due(START_MS) {
+            stage.apply(calendar);
+        }
+        stage.apply(stage.world.list());
+        stage.hear();
+        stage
+    }
+
+    pub fn apply(&mut self, event: Event) -> Outcome {
+        self.machine.apply(self.world.now, event)
+    }
+
+    pub fn hear(&mut self) {
+        let words = self.world.servers.keys().map(|name| self.world.word(name, 0)).collect();
+        self.apply(Event::Evidence(words));
+    }
+
+    pub fn pass(&mut self, ms: i64) {
+        self.world.pass(ms);
+        self.hear();
+    }
+
+    pub fn ask(&mut self, name: &str, servers: &[&str], change: impl FnOnce(&mut Request)) -> Outcome {
+        let mut request = Request {
+            name: name.into(),
+            target: Target::Servers(servers.iter().map(|name| name.to_string()).collect()),
+            earliest_ms: self.world.now,
+            latest_ms: self.world.now + 3_600_000,
+            length_ms: 60_000,
+            overrun_ms: 30_000,
+            priority: 0,
+            split: true,
+        };
+        change(&mut request);
+        self.apply(Event::Ask(request))
+    }
+
+    pub fn seat(&self, server: &str) -> SeatView {
+        let mut seats = self.machine.windows().into_iter().flat_map(|w| w.seats);
+        seats.rfind(|seat| seat.server == server).expect("a seat of that server")
+    }
+
+    /// Does what is due, except for what `stop` names.
+    pub fn act(&mut self, stop: &[Step]) {
+        for act in self.machine.due(self.world.now) {
+            if stop.contains(&act.step) {
+                continue;
+            }
+            let result = self.world.act(&act, 0, true);
+            let Act { window, server, step, token } = act;
+            self.world.cleared.extend((step == Step::Drain).then_some(token));
+            self.apply(Event::Acted { window, server, step, token, result });
+        }
+    }
+
+    pub fn clear(&mut self, server: &str) {
+        let (window, epoch) = (self.machine.windows()[0].window, self.seat(server).token);
+        self.apply(Event::Clear { window, server: server.into(), epoch });
+    }
+}
