Lose no accepted window when all that waits is planned anew

Plans now also try the order of the times that are there, which by construction ends none later, and are judged by what is placed of the highest class, then by what loses its time. A calendar names its agreement: one proposed before another agreement no longer stands for that one's blackouts. The histories play lists with gaps, agreements that change and blackouts, none of which is reached into or drained in.

--- a/crates/maintenance/src/booking.rs
+++ b/crates/maintenance/src/booking.rs
@@ -104,7 +104,7 @@
         let pieces: Vec<Piece> =
             self.windows.values().flat_map(|w| self.pieces(agreement, &ledger, w)).collect();
         let had: Times = pieces.iter().map(|piece| self.start_of(piece)).collect();
-        let times = self.best(&base, agreement, &pieces);
+        let times = self.best(&base, agreement, &pieces, &had);
         let kept = |(index, piece): (usize, &Piece)| {
             times[index].is_some() || (piece.window != id && had[index].is_none())
         };
@@ -178,7 +178,8 @@
         if pieces.is_empty() {
             return;
         }
-        let times = self.best(&self.timeline(agreement, &ledger), agreement, &pieces);
+        let had: Times = pieces.iter().map(|piece| self.start_of(piece)).collect();
+        let times = self.best(&self.timeline(agreement, &ledger), agreement, &pieces, &had);
         self.book(&pieces, &times);
     }
 }
--- a/crates/maintenance/src/event.rs
+++ b/crates/maintenance/src/event.rs
@@ -60,6 +60,8 @@
     ///
     /// [`Machine::calendar_due`]: crate::Machine::calendar_due
     Calendar {
+        /// The agreement that they belong to, counted from the first one: for another one they say nothing.
+        agreement: u64,
         /// The time to which the spans are known, in milliseconds of Unix time. What lies beyond is blacked out.
         until_ms: i64,
         /// The blackouts' times, in order.
--- a/crates/maintenance/src/machine.rs
+++ b/crates/maintenance/src/machine.rs
@@ -21,6 +21,8 @@
     /// The last window's number.
     pub(crate) last_window: u64,
     pub(crate) agreement: Option<Agreement>,
+    /// How many agreements there have been.
+    pub(crate) agreements: u64,
     pub(crate) calendar: Calendar,
     pub(crate) servers: BTreeMap<String, Known>,
     pub(crate) windows: BTreeMap<u64, Window>,
@@ -71,7 +73,7 @@
             }
             Event::Tick => Outcome::Taken,
             Event::Agreement(agreement) => self.agree(agreement),
-            Event::Calendar { until_ms, spans } => self.dates(until_ms, spans),
+            Event::Calendar { agreement, until_ms, spans } => self.dates(agreement, until_ms, spans),
         };
         self.advance();
         outcome
@@ -88,11 +90,16 @@
             self.calendar = Calendar::default();
         }
         self.agreement = Some(agreement);
+        self.agreements += 1;
         self.changed = true;
         Outcome::Taken
     }
 
-    fn dates(&mut self, until_ms: i64, spans: Vec<Span>) -> Outcome {
+    fn dates(&mut self, agreement: u64, until_ms: i64, spans: Vec<Span>) -> Outcome {
+        // Proposed before another agreement was agreed on.
+        if agreement != self.agreements {
+            return Outcome::Ignored;
+        }
         let ordered = spans.windows(2).all(|pair| pair[0].until_ms <= pair[1].from_ms);
         if spans.len() > MOST_SPANS || !ordered || spans.iter().any(|span| span.until_ms <= span.from_ms) {
             let reason = format!("must be in order, apart, and at most {MOST_SPANS}");
@@ -112,7 +119,7 @@
         }
         let until_ms = now.saturating_add(FARTHEST_MS).saturating_add(RENEW_MS);
         let spans = merged(&agreement.blackouts, Span { from_ms: now, until_ms });
-        Some(Event::Calendar { until_ms, spans })
+        Some(Event::Calendar { agreement: self.agreements, until_ms, spans })
     }
 }
 
--- a/crates/maintenance/src/order.rs
+++ b/crates/maintenance/src/order.rs
@@ -40,6 +40,17 @@
         order.into_iter().map(|(_, _, _, index)| index).collect()
     }
 
+    /// Indexes of the pieces in the order of the times that they have, those without one last.
+    pub(crate) fn kept_order(&self, pieces: &[Piece]) -> Vec<usize> {
+        let start = |piece: &Piece| {
+            let window = self.windows.get(&piece.window)?;
+            piece.seats.iter().filter_map(|index| window.seats.get(*index)?.start_ms).max()
+        };
+        let mut order: Vec<usize> = (0..pieces.len()).collect();
+        order.sort_by_key(|index| start(&pieces[*index]).unwrap_or(i64::MAX));
+        order
+    }
+
     /// Each piece's turn: zones in rounds, the one whose last grant is oldest first; within a zone as they were asked.
     fn turns(&self, pieces: &[Piece]) -> Vec<usize> {
         let mut zones: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
--- a/crates/maintenance/src/plan.rs
+++ b/crates/maintenance/src/plan.rs
@@ -1,5 +1,6 @@
 //! Changes with how windows that wait find their times: in which orders pieces are placed, and which plan is best.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::agreement::Agreement;
@@ -18,6 +19,9 @@
 /// Times of the pieces, in the order of the pieces.
 pub(crate) type Times = Vec<Option<i64>>;
 
+/// What a plan is judged by, the least being best; see [`Machine::best`].
+type Rank = (Vec<usize>, usize, i64, i128, i128);
+
 /// The end of time for a search without latest end: beyond what any request may name.
 pub(crate) const OPEN_END_MS: i64 = i64::MAX / 4;
 
@@ -98,20 +102,29 @@
             .collect()
     }
 
-    /// The best of several orders: most pieces placed first, then all ended soonest, then each zone, then each piece.
-    pub(crate) fn best(&self, base: &Timeline<'_>, agreement: &Agreement, pieces: &[Piece]) -> Times {
-        let orders = (MOST_PLACEMENTS / pieces.len().max(1)).clamp(1, MOST_ORDERS);
-        let mut best: Option<((usize, i64, i128, i128), Times)> = None;
-        for number in 0..orders {
+    /// The best of several orders: most pieces placed, those of the highest class first; then fewest that lose the time
+    /// they had; then all ended soonest, then each zone, then each piece. The last order is that of the times they
+    /// have: none ends later by it unless something else has changed, so a plan that is made anew loses no window.
+    pub(crate) fn best(
+        &self,
+        base: &Timeline<'_>,
+        agreement: &Agreement,
+        pieces: &[Piece],
+        had: &Times,
+    ) -> Times {
+        let count = (MOST_PLACEMENTS / pieces.len().max(1)).clamp(1, MOST_ORDERS);
+        let orders = (0..count).map(|number| self.order(agreement, pieces, number));
+        let mut best: Option<(Rank, Times)> = None;
+        for order in orders.chain(std::iter::once(self.kept_order(pieces))) {
             let mut timeline = base.clone();
             let mut times = vec![None; pieces.len()];
-            for index in self.order(agreement, pieces, number) {
+            for index in order {
                 if let Ok(start) = timeline.place(&pieces[index], pieces[index].upper_ms) {
                     timeline.put(&pieces[index], start);
                     times[index] = Some(start);
                 }
             }
-            let rank = self.rank(pieces, &times);
+            let rank = self.rank(agreement, pieces, had, &times);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, times));
             }
@@ -119,8 +132,13 @@
         best.map_or_else(Vec::new, |(_, times)| times)
     }
 
-    fn rank(&self, pieces: &[Piece], times: &Times) -> (usize, i64, i128, i128) {
-        let unplaced = times.iter().filter(|time| time.is_none()).count();
+    fn rank(&self, agreement: &Agreement, pieces: &[Piece], had: &Times, times: &Times) -> Rank {
+        let mut unplaced: BTreeMap<Reverse<i64>, usize> = BTreeMap::new();
+        for (piece, time) in pieces.iter().zip(times) {
+            let class = self.windows.get(&piece.window).map_or(0, |w| self.class(agreement, w));
+            *unplaced.entry(Reverse(class)).or_default() += usize::from(time.is_none());
+        }
+        let lost = had.iter().zip(times).filter(|(had, time)| had.is_some() && time.is_none()).count();
         let mut zones: BTreeMap<&str, i64> = BTreeMap::new();
         let mut sum = 0i128;
         for (piece, time) in pieces.iter().zip(times) {
@@ -133,7 +151,7 @@
             }
         }
         let last = zones.values().copied().max().unwrap_or(0);
-        (unplaced, last, zones.values().map(|end| i128::from(*end)).sum(), sum)
+        (unplaced.into_values().collect(), lost, last, zones.values().map(|end| i128::from(*end)).sum(), sum)
     }
 
     /// Words for what stands against a piece.
--- a/crates/maintenance/tests/histories.rs
+++ b/crates/maintenance/tests/histories.rs
@@ -23,6 +23,7 @@
         sum.takes += figures.takes;
         sum.refused += figures.refused;
         sum.leaders += figures.leaders;
+        sum.blackouts += figures.blackouts;
     }
     sum
 }
@@ -32,7 +33,7 @@
     let sum = histories(0..400);
     // The histories must reach what they are about.
     assert!(sum.takes > 200 && sum.called_back > 200 && sum.refused > 20 && sum.leaders > 400, "{sum:?}");
-    assert!(sum.closed_after_return > 200 && sum.booked > 400, "{sum:?}");
+    assert!(sum.closed_after_return > 200 && sum.booked > 400 && sum.blackouts > 100, "{sum:?}");
 }
 
 #[test]
--- a/crates/maintenance/tests/play/mod.rs
+++ b/crates/maintenance/tests/play/mod.rs
@@ -3,7 +3,9 @@
 
 mod moves;
 
-use linenproxy_maintenance::{Act, Agreement, Event, Health, Machine, Outcome, State};
+use linenproxy_maintenance::{
+    Act, Agreement, Event, Health, Machine, Outcome, Span, State, Step, WindowView,
+};
 
 use std::collections::BTreeMap;
 
@@ -28,10 +30,15 @@
     pub old: Vec<Machine>,
     pub wires: Vec<(i64, Wire)>,
     pub asked: u64,
+    /// Length and overrun by a request's name.
+    pub requests: BTreeMap<String, (i64, i64)>,
     /// Whether the thing acted on checks tokens.
     pub checks: bool,
     /// When a server was heard of last, and whether it was well and warm.
     pub heard: BTreeMap<String, (i64, bool)>,
+    /// The agreement's blackout, as far as the machine was told of its time.
+    pub blackout: Option<Span>,
+    pub planned: Option<Span>,
     pub figures: Figures,
 }
 
@@ -44,6 +51,7 @@
     pub takes: u64,
     pub refused: u64,
     pub leaders: u64,
+    pub blackouts: u64,
 }
 
 impl Play {
@@ -76,8 +84,11 @@
             old: Vec::new(),
             wires: Vec::new(),
             asked: 0,
+            requests: BTreeMap::new(),
             checks: true,
             heard: BTreeMap::new(),
+            blackout: None,
+            planned: None,
             figures: Figures::default(),
         };
         play.apply(Event::Agreement(play.agreement.clone()));
@@ -114,6 +125,10 @@
                 let bound = self.agreement.evidence_bound_ms + SKEW_MS;
                 let held = self.world.holds(&self.agreement, &granted, bound);
                 assert!(!fresh || held, "a grant of {server} breached the agreement");
+                assert!(
+                    !fresh || !self.meets_blackout(server),
+                    "a grant of {server} reaches into a blackout"
+                );
             }
         }
         for (server, _, state) in &before {
@@ -142,6 +157,27 @@
         outcome
     }
 
+    /// Whether the part of a server's window that no blackout may touch does so, from now on.
+    fn meets_blackout(&self, server: &str) -> bool {
+        let windows = self.machine.windows();
+        let of = |w: &&WindowView| w.seats.iter().any(|s| s.server == server && s.state.granted());
+        let asked = windows.iter().find(of).and_then(|w| self.requests.get(&w.name));
+        let Some((blackout, (length, overrun))) = self.blackout.zip(asked) else { return false };
+        let hard = length + if self.agreement.overrun_may_enter_blackout { 0 } else { *overrun };
+        let now = self.world.now;
+        blackout.from_ms < now - SKEW_MS + hard && blackout.until_ms > now
+    }
+
+    /// Nothing is taken away any more that would be away in a blackout, by whoever leads now.
+    pub fn audit_blackout(&self) {
+        for act in self.machine.due(self.world.now) {
+            let out = matches!(act.step, Step::Drain | Step::Take);
+            let now = self.world.now;
+            let on = self.blackout.is_some_and(|b| b.from_ms <= now && now < b.until_ms);
+            assert!(!out || !on, "{act:?} is due in a blackout");
+        }
+    }
+
     /// What is drained or taken must have an open grant, at every moment.
     pub fn audit(&self) {
         assert!(self.world.broken.is_empty(), "{:?}", self.world.broken);
--- a/crates/maintenance/tests/play/moves.rs
+++ b/crates/maintenance/tests/play/moves.rs
@@ -1,9 +1,15 @@
 //! Changes with what happens in a history: what is asked, lost, repeated, dies, and who leads.
 
-use linenproxy_maintenance::{Act, Answer, Event, Machine, Outcome, Request, State, Step, Target};
+use jiff::Timestamp;
+use jiff::tz::TimeZone;
+use linenproxy_maintenance::{
+    Act, Answer, Blackout, Event, Every, Machine, Outcome, Request, Span, State, Step, Target,
+};
 
 use super::{Figures, Play, Wire};
 
+const DAY_MS: i64 = 86_400_000;
+
 impl Play {
     pub fn send(&mut self, wire: Wire) {
         for _ in 0..self.rng.usize(0..3) {
@@ -58,6 +64,7 @@
             priority: self.rng.u8(0..3),
             split: self.rng.bool(),
         };
+        self.requests.insert(request.name.clone(), (length_ms, overrun_ms));
         if let Outcome::Booked { .. } = self.apply(Event::Ask(request)) {
             self.figures.booked += 1;
         }
@@ -66,7 +73,19 @@
     pub fn fault(&mut self) {
         let names: Vec<String> = self.world.servers.keys().cloned().collect();
         let name = self.rng.choice(&names).unwrap().clone();
-        match self.rng.u8(0..10) {
+        match self.rng.u8(0..12) {
+            10 => self.agree_anew(),
+            11 => {
+                // A list that names nobody, or all but one; the next is whole.
+                let Event::Servers(mut list) = self.world.list() else { return };
+                match self.rng.bool() {
+                    true => list.clear(),
+                    false => list.retain(|server| server.name != name),
+                }
+                self.apply(Event::Servers(list));
+                self.heard.clear();
+                self.send(Wire::Event(self.world.list()));
+            }
             0 => self.world.kill(&name),
             1..=3 => self.world.revive(&name, self.rng.i64(0..6_000)),
             4 => {
@@ -96,8 +115,42 @@
         }
     }
 
+    /// Another agreement, with a blackout that may begin at once or in a while, or without.
+    fn agree_anew(&mut self) {
+        let from_ms = self.world.now + self.rng.i64(0..60_000);
+        let until_ms = from_ms + self.rng.i64(1_000..30_000);
+        let moment = |ms| TimeZone::UTC.to_datetime(Timestamp::from_millisecond(ms).expect("a time"));
+        let blackout = Blackout {
+            name: "b".into(),
+            time_zone: "UTC".into(),
+            from: moment(from_ms),
+            until: moment(until_ms),
+            every: Every::Once,
+        };
+        self.agreement.blackouts = if self.rng.u8(0..3) > 0 { vec![blackout] } else { Vec::new() };
+        self.agreement.overrun_may_enter_blackout = self.rng.bool();
+        self.agreement.most_away = self.rng.u32(1..5);
+        self.blackout = None;
+        // A calendar of before may come after it.
+        let before = self.machine.calendar_due(self.world.now + self.rng.i64(0..2) * 40 * DAY_MS);
+        before.into_iter().for_each(|event| self.send(Wire::Event(event)));
+        self.apply(Event::Agreement(self.agreement.clone()));
+        self.planned = (!self.agreement.blackouts.is_empty()).then_some(Span { from_ms, until_ms });
+    }
+
+    /// The leader tells the blackouts' times, in a while.
+    fn tell_calendar(&mut self) {
+        let due = self.machine.calendar_due(self.world.now).filter(|_| self.rng.bool());
+        if let Some(calendar) = due {
+            self.apply(calendar);
+            self.blackout = self.planned;
+            self.figures.blackouts += u64::from(self.blackout.is_some());
+        }
+    }
+
     pub fn step(&mut self) {
         self.world.pass(self.rng.i64(50..1_500));
+        self.tell_calendar();
         self.deliver();
         if self.rng.u8(0..6) == 0 {
             self.fault();
@@ -140,6 +193,7 @@
         self.apply(Event::Tick);
         self.audit();
         self.audit_call_back();
+        self.audit_blackout();
     }
 
     /// Quiet days at the end: whatever was granted comes back, and nothing stays open for ever.
@@ -154,6 +208,7 @@
                 return;
             }
             self.world.pass(1_000);
+            self.machine.calendar_due(self.world.now).into_iter().for_each(|event| drop(self.apply(event)));
             self.apply(self.world.list());
             let words = self.world.servers.keys().map(|name| self.world.word(name, 0)).collect();
             self.apply(Event::Evidence(words));
--- a/crates/maintenance/tests/rules.rs
+++ b/crates/maintenance/tests/rules.rs
@@ -145,6 +145,9 @@
 #[test]
 fn a_blackout_that_is_agreed_on_later_calls_back_what_would_be_away_in_it() {
     let mut agreed = agreement(2, &[], 2);
+    agreed.blackouts = vec![blackout("2027-02-15T00:00", "2027-02-16T00:00", Every::Once)];
+    let before =
+        Stage::new(agreed.clone()).machine.calendar_due(START_MS + 40 * 86_400_000).expect("a calendar");
     let mut stage = Stage::new(agreed.clone());
     stage.ask("one", &["s0"], |r| r.latest_ms += 3_600_000);
     stage.ask("two", &["s1"], |r| r.latest_ms += 3_600_000);
@@ -158,6 +161,7 @@
     stage.apply(Event::Clear { window, server: "s1".into(), epoch });
     assert_eq!(stage.machine.due(START_MS), [], "nobody knows the blackouts' times yet");
     let calendar = stage.machine.calendar_due(START_MS).expect("a calendar");
+    assert_eq!(stage.apply(before), Outcome::Ignored, "the times of another agreement's");
     stage.apply(calendar);
     assert_eq!((stage.seat("s0").state, stage.seat("s1").state), (State::Away, State::CalledBack));
     stage.act(&[]);
