--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -2,6 +2,7 @@
 //! audit. Changes with those rules.
 
 mod answers;
+mod blackouts;
 mod capacity;
 mod clear;
 mod cold;
@@ -12,14 +13,17 @@
 mod tests;
 mod tokens;
 
-use crate::Us;
 use crate::plan::Plan;
 use crate::record::{Entry, Seen};
+use crate::{SECOND, Us};
 pub use capacity::capacities;
 use clear::clears;
 use serde::Serialize;
 use std::fmt;
 
+/// How long an act may take from when it is due: a look of the leader a second, and one at what came of it.
+const ACTS_WITHIN: Us = 2 * SECOND;
+
 /// A rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -42,6 +46,8 @@
     Tokens,
     /// A server is taken only once nothing runs there any more.
     Clear,
+    /// Nothing is away by grant in a blackout.
+    Blackout,
 }
 
 impl fmt::Display for Rule {
@@ -56,6 +62,7 @@
             Self::Capacity => "capacity",
             Self::Tokens => "tokens",
             Self::Clear => "clear",
+            Self::Blackout => "blackout",
         })
     }
 }
@@ -89,6 +96,7 @@
 pub fn audit_windows(plan: &Plan, record: &[Entry]) -> Vec<Finding> {
     let mut findings = capacities(plan, record).0;
     findings.extend(clears(record));
+    findings.extend(blackouts::blackouts(plan, record, ACTS_WITHIN));
     findings
 }
 
--- a/crates/lab/src/audit/capacity.rs
+++ b/crates/lab/src/audit/capacity.rs
@@ -6,18 +6,21 @@
 use crate::listing::capacity;
 use crate::plan::{Kept, Plan};
 use crate::record::{Act, Entry, Seen};
+use crate::site;
 use std::collections::HashMap;
 
 #[derive(Clone, Copy)]
 struct Server {
     weight: u64,
     zone: usize,
-    /// Drained or taken by an accepted act, and not seen to serve since it was returned.
+    /// Drained or taken by an accepted act, and not seen to serve warm since it was returned.
     by_act: bool,
     /// Drained and not taken.
     drains: bool,
     /// Since when its process has been down or silent, without an act.
     dead: Option<Us>,
+    /// When its process started.
+    up: Us,
 }
 
 struct Count<'a> {
@@ -55,7 +58,7 @@
 pub fn capacities(plan: &Plan, record: &[Entry]) -> (Vec<Finding>, f64) {
     let Some(kept) = &plan.kept else { return (Vec::new(), 1.0) };
     let servers = plan.servers.iter().filter(|spec| spec.first);
-    let server = |weight, zone| Server { weight, zone, by_act: false, drains: false, dead: None };
+    let server = |weight, zone| Server { weight, zone, by_act: false, drains: false, dead: None, up: 0 };
     let mut count = Count { kept, servers: servers.map(|spec| server(capacity(spec), spec.zone)).collect() };
     let whole: u64 = count.servers.iter().map(|s| s.weight).sum();
     let (mut findings, mut least, mut short_since) = (Vec::new(), whole, None::<Us>);
@@ -102,12 +105,14 @@
             Seen::ServerUp { server } | Seen::ServerSilent { server, on: false } => {
                 if let Some(s) = count.servers.get_mut(*server) {
                     s.dead = None;
+                    s.up = if matches!(seen, Seen::ServerUp { .. }) { *at } else { s.up };
                 }
             }
             Seen::Attempt { number, server, .. } => drop(of_attempt.insert(*number, *server)),
             Seen::AttemptAnswered { number, status: 200, .. } => {
                 let server = of_attempt.remove(number).and_then(|server| count.servers.get_mut(server));
-                if let Some(s) = server.filter(|s| s.by_act && !s.drains && s.dead.is_none()) {
+                let warm = |s: &&mut Server| *at + site::SLACK >= s.up + site::WARM_WITHIN;
+                if let Some(s) = server.filter(|s| s.by_act && !s.drains && s.dead.is_none()).filter(warm) {
                     s.by_act = false;
                 }
             }
@@ -136,7 +141,14 @@
         let weight = capacity(&plan.servers[0]);
         let keep = weight * (plan.servers.len() as u64 - 2);
         let keep_zone = vec![0; 3];
-        plan.kept = Some(Kept { keep, keep_zone, most_away: 9, answered_within: 8 * SECOND });
+        plan.kept = Some(Kept {
+            keep,
+            keep_zone,
+            most_away: 9,
+            answered_within: 8 * SECOND,
+            blackouts: Vec::new(),
+            overrun_may_enter: false,
+        });
         plan
     }
 
@@ -160,14 +172,14 @@
         );
         let back = [acted(3, Act::Take, 0), acted(4, Act::Return, 0), (5, Seen::ServerUp { server: 0 })];
         assert_eq!(broken(&[&two[..], &back, &[acted(6, Act::Drain, 2)]].concat()), [6]);
-        let served = [
-            (6, Seen::Attempt { number: 1, request: None, sidecar: 0, server: 0, began: 6 }),
-            (7, Seen::AttemptAnswered { number: 1, status: 200, unprocessed: false }),
-        ];
-        assert_eq!(
-            broken(&[&two[..], &back, &served, &[acted(8, Act::Drain, 2)]].concat()),
-            Vec::<Us>::new()
-        );
+        let served = |at| {
+            let answered = Seen::AttemptAnswered { number: 1, status: 200, unprocessed: false };
+            let drain = acted(at + 2, Act::Drain, 2);
+            let attempt = Seen::Attempt { number: 1, request: None, sidecar: 0, server: 0, began: at };
+            broken(&[&two[..], &back, &[(at, attempt), (at + 1, answered), drain]].concat())
+        };
+        assert_eq!(served(6), [8], "it serves and is cold");
+        assert_eq!(served(6 + site::WARM_WITHIN), Vec::<Us>::new());
     }
 
     #[test]
--- a/crates/lab/src/draw/windows.rs
+++ b/crates/lab/src/draw/windows.rs
@@ -11,7 +11,7 @@
     let mut free: Vec<usize> = (0..servers.len()).filter(|i| servers[*i].first).collect();
     rng.shuffle(&mut free);
     let mut windows = Vec::new();
-    for window in &experiment.window {
+    for window in experiment.window.iter().flat_map(|window| std::iter::repeat_n(window, window.times)) {
         let fits = |i: &usize| window.zone.is_none_or(|zone| zone == servers[*i].zone);
         let chosen: Vec<usize> = free.iter().copied().filter(fits).take(window.servers).collect();
         free.retain(|i| !chosen.contains(i));
@@ -44,5 +44,7 @@
             .collect(),
         most_away: agreed.most_away,
         answered_within: us(agreed.answered_within),
+        blackouts: agreed.blackout.iter().map(|b| (us(b.at), us(b.at) + us(b.lasts))).collect(),
+        overrun_may_enter: agreed.overrun_may_enter_blackout,
     })
 }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -8,7 +8,7 @@
 use crate::outcome::Measure;
 pub use fault::{Fault, FaultKind, Way};
 use linenproxy_common::units::Time;
-pub use maintenance::{Agreed, Carried, StewardFault, StewardFaultKind, Stewards, Who, Window};
+pub use maintenance::{Agreed, Blackout, Carried, StewardFault, StewardFaultKind, Stewards, Who, Window};
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
 
--- a/crates/lab/src/experiment/check.rs
+++ b/crates/lab/src/experiment/check.rs
@@ -72,10 +72,14 @@
             }
         }
         for window in &self.window {
-            if window.at >= l.lasts || window.servers == 0 || window.zone.is_some_and(|z| z >= t.zones) {
+            if window.at >= l.lasts
+                || window.servers == 0
+                || !(1..=MOST_SERVERS).contains(&window.times)
+                || window.zone.is_some_and(|z| z >= t.zones)
+            {
                 return wrong(
                     "window",
-                    "at must lie before load.lasts, servers be above 0, zone one of topology.zones",
+                    "at must lie before load.lasts, servers and times be above 0, zone one of topology.zones",
                 );
             }
             if window.length.0.is_zero() || window.latest.is_some_and(|latest| latest <= window.at) {
@@ -94,6 +98,11 @@
         if self.stewards.as_ref().is_some_and(|stewards| ![3, 5].contains(&stewards.count)) {
             return wrong("stewards.count", "3 or 5");
         }
+        if let Some(stewards) = &self.stewards
+            && stewards.count < stewards.clock_offset_ms.len().max(stewards.disk_delay.len())
+        {
+            return wrong("stewards", "clock_offset_ms and disk_delay have one entry a steward at most");
+        }
         let mut names: Vec<&str> = self.variant.iter().map(|v| v.name.as_str()).collect();
         if names.is_empty() || names.iter().any(|n| n.is_empty()) {
             return wrong("variant", "at least one, each with a name");
--- a/crates/lab/src/experiment/maintenance.rs
+++ b/crates/lab/src/experiment/maintenance.rs
@@ -15,6 +15,9 @@
     pub zone: Option<usize>,
     /// How many servers, drawn from the seed; each server is in one window at most.
     pub servers: usize,
+    /// So many windows alike, each with servers of its own.
+    #[serde(default = "once")]
+    pub times: usize,
     /// How long each is away, from its drain to its return.
     pub length: Time,
     /// How much longer it may be.
@@ -31,6 +34,10 @@
     pub split: bool,
 }
 
+fn once() -> usize {
+    1
+}
+
 fn none() -> Time {
     Time::ms(0)
 }
@@ -53,6 +60,22 @@
     /// How soon a death must be known and answered: the bound on evidence and the time to act on it.
     #[serde(default = "answered_within")]
     pub answered_within: Time,
+    /// Times in which nothing may be away by grant.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub blackout: Vec<Blackout>,
+    /// Whether the overrun of a window may reach into one.
+    #[serde(default)]
+    pub overrun_may_enter_blackout: bool,
+}
+
+/// A time in which nothing may be away by grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Blackout {
+    /// Its beginning, since the first request.
+    pub at: Time,
+    /// How long it lasts.
+    pub lasts: Time,
 }
 
 /// Five seconds that evidence may be old, a second between two looks, and two to act.
@@ -85,11 +108,16 @@
     pub config: String,
     /// What goes wrong with them.
     pub fault: Vec<StewardFault>,
+    /// By how much the clock of each is off, the first one's first, in milliseconds; of the rest by nothing.
+    pub clock_offset_ms: Vec<i64>,
+    /// By how much each one's disk is slower, the first one's first; the rest are as they are.
+    pub disk_delay: Vec<Time>,
 }
 
 impl Default for Stewards {
     fn default() -> Self {
-        Self { count: 3, config: String::new(), fault: Vec::new() }
+        let (config, fault) = (String::new(), Vec::new());
+        Self { count: 3, config, fault, clock_offset_ms: Vec::new(), disk_delay: Vec::new() }
     }
 }
 
@@ -123,6 +151,8 @@
     EmptyDisk,
     /// Killed, its largest file torn in the middle, and started again when it ends.
     TearDisk,
+    /// Nothing can be written to any file while it lasts.
+    FullDisk,
 }
 
 /// Which stewards a fault meets.
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -58,6 +58,8 @@
     LeastCapacity,
     /// Acts that the platform refused as their token was too low.
     TokensRefused,
+    /// Faults of stewards that happened.
+    StewardFaults,
     /// Time until the last sidecar found that there was a cut, in seconds; the longest of all cuts.
     CutFoundS,
     /// Part of the sidecars that did not find a cut before it was over, over all cuts.
@@ -74,7 +76,7 @@
 
 impl Measure {
     /// All of them.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::Served,
         Self::ServedWorstClass,
         Self::ServedWorstSecond,
@@ -101,6 +103,7 @@
         Self::CapacityBreaches,
         Self::LeastCapacity,
         Self::TokensRefused,
+        Self::StewardFaults,
         Self::CutFoundS,
         Self::CutMissed,
         Self::CutEndsS,
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -167,6 +167,10 @@
     pub most_away: usize,
     /// How soon a death must be known and answered.
     pub answered_within: Us,
+    /// Times in which nothing may be away by grant: first moment, and first moment after it.
+    pub blackouts: Vec<(Us, Us)>,
+    /// Whether the overrun of a window may reach into one.
+    pub overrun_may_enter: bool,
 }
 
 /// A whole play, as it will be.
--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -160,7 +160,7 @@
             let around =
                 Around { net: &net, platform: (Arc::clone(&platform), at), sidecars: &pages, host, folder };
             let both = (plan, &clock, &record);
-            let started = Stewards::start(asked.count, &asked.config, &bringing, around, both).await;
+            let started = Stewards::start(asked, &bringing, around, both).await;
             let (stewards, handles) = started.map_err(io("cannot start the stewards"))?;
             tasks.0.extend(handles);
             stewards.ready().await.map_err(PlayError::Stewards)?;
--- a/crates/lab/src/stewards.rs
+++ b/crates/lab/src/stewards.rs
@@ -8,6 +8,7 @@
 pub use asker::ask_for_windows;
 pub use faults::trouble;
 
+use crate::experiment::Stewards as Asked;
 use crate::net::{Clock, Net};
 use crate::page::ask;
 use crate::plan::{Kept, Plan};
@@ -17,6 +18,8 @@
 use crate::supervisor::Bringing;
 use crate::ways;
 use crate::{SECOND, Us};
+use jiff::Timestamp;
+use jiff::tz::TimeZone;
 use process::Steward;
 use serde_json::Value;
 use std::fmt::Write;
@@ -27,7 +30,7 @@
 use std::time::Duration;
 use tokio::sync::Mutex;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// How long a steward may take to answer the lab.
 const WITHIN: Duration = Duration::from_secs(1);
@@ -36,6 +39,8 @@
 /// How long an election may take at the beginning of a play.
 const ELECTED_WITHIN: Duration = Duration::from_secs(30);
 
+/// How long after their start a play with blackouts begins: the clocks' times of those are in their configuration.
+const BEGINS_AFTER: Duration = Duration::from_secs(10);
 /// Of the time within which a death must be answered, this much is for seeing it and for acting: two rounds of looks
 /// of a second, and half a second for each of two rounds of acts.
 const ACTS_WITHIN: Us = 3 * SECOND;
@@ -50,6 +55,8 @@
     platform: Arc<Platform>,
     clock: Clock,
     record: Record,
+    /// When the play is to begin, where its blackouts are told in the clocks of people.
+    begins: Option<Instant>,
 }
 
 /// What stewards meet.
@@ -73,8 +80,7 @@
     /// # Errors
     /// Sockets or files cannot be had, or the program cannot be started.
     pub async fn start(
-        count: usize,
-        more: &str,
+        asked: &Asked,
         bringing: &Bringing,
         around: Around<'_>,
         (plan, clock, record): (&Arc<Plan>, &Clock, &Record),
@@ -82,11 +88,17 @@
         let zone =
             |steward: usize| steward % plan.kept.as_ref().map_or(1, |kept| kept.keep_zone.len()).max(1);
         let mut pages = Vec::new();
-        for steward in 0..count {
+        for steward in 0..asked.count {
             pages.push(std::net::TcpListener::bind(((around.host)(6, steward), 0))?.local_addr()?);
         }
+        let blacked_out = plan.kept.as_ref().is_some_and(|kept| !kept.blackouts.is_empty());
+        let begins = blacked_out.then(|| Instant::now() + BEGINS_AFTER);
+        let agreed = match &plan.kept {
+            Some(kept) => agreement(kept, begins.map(|_| Timestamp::now() + BEGINS_AFTER))?,
+            None => String::new(),
+        };
         let (mut all, mut handles) = (Vec::new(), Vec::new());
-        for own in 0..count {
+        for own in 0..asked.count {
             let mut way = |to: usize, target| {
                 let (address, handle) =
                     ways::open((around.host)(7, own), around.net, (zone(own), to), target)?;
@@ -94,9 +106,10 @@
                 io::Result::Ok(address)
             };
             let mut text = format!(
-                "[steward]\nname = \"s{own}\"\nlisten = \"{}\"\ndata = {:?}\n\n[stewards]\n",
+                "[steward]\nname = \"s{own}\"\nlisten = \"{}\"\ndata = {:?}\n{}\n[stewards]\n",
                 pages[own],
-                data(around.folder, own)
+                data(around.folder, own),
+                troubles(asked, own)
             );
             for (other, at) in pages.iter().enumerate() {
                 let at = if other == own { *at } else { way(zone(other), *at)? };
@@ -114,14 +127,14 @@
                     let _ = writeln!(text, "{name} = {ways:?}");
                 }
             }
-            text += &agreement(plan.kept.as_ref());
-            text += more;
+            text += &agreed;
+            text += &asked.config;
             let folder = around.folder;
             all.push(Mutex::new(Steward::start(own, &text, bringing.clone(), folder)?));
         }
         let (plan, clock, record) = (Arc::clone(plan), clock.clone(), record.clone());
         let platform = around.platform.0;
-        Ok((Arc::new(Self { all, pages, plan, platform, clock, record }), handles))
+        Ok((Arc::new(Self { all, pages, plan, platform, clock, record, begins }), handles))
     }
 
     /// Waits until one leads.
@@ -140,7 +153,16 @@
             }
             sleep(LOOK).await;
         }
-        Ok(())
+        match self.begins {
+            Some(at) if Instant::now() > at => {
+                Err("the stewards led too late for the blackouts' times".into())
+            }
+            Some(at) => {
+                sleep_until(at).await;
+                Ok(())
+            }
+            None => Ok(()),
+        }
     }
 
     /// Who may act, by its own word.
@@ -166,17 +188,35 @@
     folder.join(format!("s{steward}.data"))
 }
 
-/// The `[agreement]` section of what was agreed.
-fn agreement(kept: Option<&Kept>) -> String {
-    let Some(kept) = kept else { return String::new() };
+/// What one steward's clock and disk are like, beside those of the others: keys for experiments alone.
+fn troubles(asked: &Asked, own: usize) -> String {
+    let offset = asked.clock_offset_ms.get(own).filter(|ms| **ms != 0);
+    let delay = asked.disk_delay.get(own).filter(|delay| !delay.0.is_zero());
+    let offset = offset.map(|ms| format!("clock_offset_ms = {ms}\n")).unwrap_or_default();
+    offset + &delay.map(|delay| format!("disk_delay = \"{delay}\"\n")).unwrap_or_default()
+}
+
+/// The `[agreement]` section of what was agreed, of a play that begins at that time.
+fn agreement(kept: &Kept, begins: Option<Timestamp>) -> io::Result<String> {
     let bound = kept.answered_within.saturating_sub(ACTS_WITHIN) / 1000;
     let mut text = format!(
-        "\n[agreement]\nkeep = {}\nmost_away = {}\nevidence_bound_ms = {bound}\nrepair_ms = {REPAIR_MS}\n",
-        kept.keep, kept.most_away
+        "\n[agreement]\nkeep = {}\nmost_away = {}\nevidence_bound_ms = {bound}\nrepair_ms = {REPAIR_MS}\noverrun_may_enter_blackout = {}\n",
+        kept.keep, kept.most_away, kept.overrun_may_enter
     );
     text += "\n[agreement.keep_zone]\n";
     for (zone, keep) in kept.keep_zone.iter().enumerate() {
         let _ = writeln!(text, "{} = {keep}", ZONES[zone]);
     }
-    text
+    for (number, (from, until)) in kept.blackouts.iter().enumerate() {
+        let moment = |at: Us| {
+            let at = begins.unwrap_or_default().checked_add(Duration::from_micros(at));
+            at.map(|at| TimeZone::UTC.to_datetime(at)).map_err(io::Error::other)
+        };
+        let (from, until) = (moment(*from)?, moment(*until)?);
+        let _ = writeln!(
+            text,
+            "\n[[agreement.blackouts]]\nname = \"b{number}\"\ntime_zone = \"UTC\"\nfrom = \"{from}\"\nuntil = \"{until}\""
+        );
+    }
+    Ok(text)
 }
--- a/crates/lab/src/stewards/faults.rs
+++ b/crates/lab/src/stewards/faults.rs
@@ -1,5 +1,6 @@
 //! Faults of stewards, at a time or at a step of a window. Changes with what may happen to stewards.
 
+use super::process::Steward;
 use super::{LOOK, Stewards, WITHIN};
 use crate::experiment::{StewardFault, StewardFaultKind, Who};
 use crate::page::ask;
@@ -47,6 +48,13 @@
         }
     }
 
+    fn fill(&self, number: usize, steward: &Steward, full: bool) {
+        if let Err(e) = steward.fill_disk(full) {
+            let what = format!("the lab cannot fill steward {number}'s disk: {e}");
+            self.record.note(self.clock.now(), Seen::StewardBroken { what });
+        }
+    }
+
     async fn suffer(&self, fault: &StewardFault) {
         self.clock.until(u64::try_from(fault.at.0.as_micros()).unwrap_or(u64::MAX)).await;
         if let Some(state) = &fault.on {
@@ -61,6 +69,7 @@
             match fault.kind {
                 StewardFaultKind::Kill => steward.kill().await,
                 StewardFaultKind::Stop => steward.pause(true),
+                StewardFaultKind::FullDisk => self.fill(*number, &steward, true),
                 StewardFaultKind::EmptyDisk | StewardFaultKind::TearDisk => {
                     steward.kill().await;
                     let done = match fault.kind {
@@ -79,6 +88,8 @@
             let mut steward = self.all[*number].lock().await;
             if fault.kind == StewardFaultKind::Stop {
                 steward.pause(false);
+            } else if fault.kind == StewardFaultKind::FullDisk && steward.runs() {
+                self.fill(*number, &steward, false);
             } else if let Err(e) = steward.run() {
                 let what = format!("steward {number} cannot be started: {e}");
                 self.record.note(self.clock.now(), Seen::StewardBroken { what });
--- a/crates/lab/src/stewards/process.rs
+++ b/crates/lab/src/stewards/process.rs
@@ -2,7 +2,7 @@
 
 use super::data;
 use crate::supervisor::Bringing;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use std::fs::{self, OpenOptions};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -36,24 +36,41 @@
 
     /// Starts it, where it does not run.
     pub(super) fn run(&mut self) -> io::Result<()> {
-        if self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None))) {
+        if self.runs() {
             return Ok(());
         }
         let log = || OpenOptions::new().append(true).open(&self.log).map(Stdio::from);
-        let mut command = self.bringing.command();
+        let mut command = self.bringing.command_that_outlives_full_disks();
         command.arg("--config").arg(&self.config).env_clear().stdin(Stdio::null());
         command.stdout(log()?).stderr(log()?).kill_on_drop(true);
         self.child = Some(command.spawn()?);
         Ok(())
     }
 
-    fn signal(&self, signal: Signal) {
+    /// Whether its process runs.
+    pub(super) fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    fn pid(&self) -> Option<Pid> {
         let id = self.child.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
-        if let Some(pid) = id.and_then(Pid::from_raw) {
+        id.and_then(Pid::from_raw)
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.pid() {
             let _ = kill_process(pid, signal);
         }
     }
 
+    /// Lets it write to no file, or to all again. It is its limit on the size of files, so that a disk of its own is
+    /// not needed: writing answers with an error, as on a full disk.
+    pub(super) fn fill_disk(&self, full: bool) -> io::Result<()> {
+        let limit = Rlimit { current: full.then_some(0), maximum: None };
+        self.pid()
+            .map_or(Ok(()), |pid| prlimit(Some(pid), Resource::Fsize, limit).map(drop).map_err(Into::into))
+    }
+
     /// Stops or continues it.
     pub(super) fn pause(&self, on: bool) {
         self.signal(if on { Signal::STOP } else { Signal::CONT });
--- a/crates/lab/src/supervisor/bringing.rs
+++ b/crates/lab/src/supervisor/bringing.rs
@@ -24,6 +24,15 @@
         Self { program, keeper: None, within: READY_WITHIN }
     }
 
+    /// The same, but a write beyond the process's limit on the size of files is an error to it rather than its end: what
+    /// a program may ignore of signals it inherits, and a shell can say so.
+    pub(crate) fn command_that_outlives_full_disks(&self) -> Command {
+        let program = self.program.clone();
+        let mut command = Self { program: PathBuf::from("/bin/sh"), ..self.clone() }.command();
+        command.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""]).arg(program);
+        command
+    }
+
     pub(crate) fn command(&self) -> Command {
         match &self.keeper {
             Some(keeper) => {
--- a/crates/lab/src/tally/maintenance.rs
+++ b/crates/lab/src/tally/maintenance.rs
@@ -8,16 +8,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What maintenance came to: servers that were away and back, how long all took, what was short meanwhile.
-pub fn maintenance(plan: &Plan, record: &[Entry]) -> [(Measure, f64); 5] {
+pub fn maintenance(plan: &Plan, record: &[Entry]) -> [(Measure, f64); 6] {
     let wanted: BTreeSet<usize> = plan.windows.iter().flat_map(|window| window.servers.clone()).collect();
     let first = plan.windows.iter().map(|window| window.at).min().unwrap_or(0);
     let mut taken: BTreeSet<usize> = BTreeSet::new();
     let mut back: BTreeMap<usize, Us> = BTreeMap::new();
-    let mut refused = 0.0;
+    let (mut refused, mut faults) = (0.0, 0.0);
     for (at, seen) in record {
         match seen {
             Seen::Acted { act: Act::Take, server, accepted: true, .. } => drop(taken.insert(*server)),
             Seen::Acted { accepted: false, .. } => refused += 1.0,
+            Seen::StewardFault { .. } => faults += 1.0,
             Seen::ServerUp { server } if taken.contains(server) => drop(back.insert(*server, *at)),
             _ => {}
         }
@@ -31,5 +32,6 @@
         (Measure::CapacityBreaches, breaches.len() as f64),
         (Measure::LeastCapacity, least),
         (Measure::TokensRefused, refused),
+        (Measure::StewardFaults, faults),
     ]
 }
