--- a/crates/maintenance/src/act.rs
+++ b/crates/maintenance/src/act.rs
@@ -22,3 +22,17 @@
     /// The token to do it with.
     pub token: u64,
 }
+
+/// A drained server of which somebody must say that it is clear ([`Event::Clear`](crate::Event::Clear)) before it is
+/// taken.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Unclear {
+    /// The window's number.
+    pub window: u64,
+    /// The server's name.
+    pub server: String,
+    /// The start of the process that leaves, in the list's unit.
+    pub started: u64,
+    /// The token of its drain.
+    pub epoch: u64,
+}
--- a/crates/maintenance/src/due.rs
+++ b/crates/maintenance/src/due.rs
@@ -1,6 +1,6 @@
 //! Changes with what the leader has to do, and when it has to look again.
 
-use crate::act::Act;
+use crate::act::{Act, Unclear};
 use crate::event::Step;
 use crate::machine::Machine;
 use crate::window::State;
@@ -41,6 +41,20 @@
         acts
     }
 
+    /// Servers whose drain is confirmed and of which a clear is waited for, by window.
+    pub fn unclear(&self) -> Vec<Unclear> {
+        let seats = self.windows.values().flat_map(|w| w.seats.iter().map(move |seat| (w, seat)));
+        let waits = seats.filter(|(w, s)| s.state == State::Draining && s.drained && !w.cancelled);
+        waits
+            .map(|(w, s)| Unclear {
+                window: w.id,
+                server: s.server.clone(),
+                started: s.least_start,
+                epoch: s.token,
+            })
+            .collect()
+    }
+
     /// When the leader should propose [`Event::Tick`](crate::Event::Tick) at the latest, in milliseconds of Unix time;
     /// none if nothing waits for time to pass. Acts that are due are no reason to wake: they are repeated by whoever
     /// performs them.
--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -27,7 +27,7 @@
 mod view;
 mod window;
 
-pub use act::Act;
+pub use act::{Act, Unclear};
 pub use agreement::{Agreement, Invalid, MOST_RULES};
 pub use calendar::{Blackout, Every, Span};
 pub use event::{Answer, Booking, Event, Health, Outcome, Refusal, Server, Step, Word};
--- a/crates/maintenance/src/view.rs
+++ b/crates/maintenance/src/view.rs
@@ -113,6 +113,18 @@
         Some(self.ledger(agreement, now_ms.max(self.at_ms)).view())
     }
 
+    /// The servers of the last list, in the order of their names.
+    pub fn servers(&self) -> Vec<crate::Server> {
+        let server = |(name, known): (&String, &crate::servers::Known)| crate::Server {
+            name: name.clone(),
+            zone: known.zone.clone(),
+            group: known.group.clone(),
+            weight: known.weight,
+            started: known.started,
+        };
+        self.servers.iter().map(server).collect()
+    }
+
     /// The agreement that is in force.
     pub fn agreement(&self) -> Option<&crate::Agreement> {
         self.agreement.as_ref()
--- /dev/null
+++ b/crates/steward/src/acts.rs
@@ -0,0 +1,115 @@
+//! Drains, takes, returns and calls back servers, and asks whether they are clear. Changes with the platform's
+//! interface.
+
+use crate::calls::Calls;
+use crate::clock::Clock;
+use crate::config::Sections;
+use crate::fetch::fetch;
+use crate::looks::Looks;
+use linenproxy_maintenance::{Act, Answer, Step, Unclear};
+use linenproxy_steward::core::{Input, Order};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+
+/// What the platform answers to an act.
+#[derive(Deserialize)]
+struct Done {
+    state: String,
+    #[serde(default)]
+    started_ms: Option<u64>,
+}
+
+/// Who carries out what the leader orders.
+#[derive(Clone)]
+pub struct Hands {
+    sections: Rc<Sections>,
+    clock: Clock,
+    calls: Calls,
+    looks: Rc<Looks>,
+    free: Rc<Semaphore>,
+    /// Processes that sidecars were told to leave, by server, until they are told otherwise.
+    left: Rc<RefCell<BTreeMap<String, Unclear>>>,
+}
+
+impl Hands {
+    pub fn new(sections: &Sections, clock: Clock, calls: Calls, looks: Rc<Looks>) -> Self {
+        let free = Rc::new(Semaphore::new(sections.platform.at_once));
+        Self { sections: Rc::new(sections.clone()), clock, calls, looks, free, left: Rc::default() }
+    }
+
+    /// Begins an act; what it comes to is told.
+    pub fn act(&self, order: Order<Act>) {
+        let hands = self.clone();
+        spawn_local(async move {
+            let _permit = hands.free.acquire().await;
+            let answer = match hands.clock.now().mono_ms < order.until_ms {
+                true => hands.done(&order.what).await,
+                false => None,
+            };
+            let back = matches!(order.what.step, Step::Return | Step::CallBack);
+            let left = matches!(answer, Some(Answer::Done { .. })).then_some(&order.what.server);
+            let left = left.filter(|_| back).and_then(|server| hands.left.borrow_mut().remove(server));
+            hands.calls.tell(Input::Acted(order.what, answer));
+            if let Some(left) = left {
+                hands.looks.stays(&left).await;
+            }
+        });
+    }
+
+    /// Asks whether a server is clear; what it comes to is told.
+    pub fn question(&self, order: Order<Unclear>) {
+        let hands = self.clone();
+        spawn_local(async move {
+            let mut clear = hands.looks.idle(&order.what.server).await;
+            if clear && hands.sections.clear.ask {
+                hands.left.borrow_mut().insert(order.what.server.clone(), order.what.clone());
+                clear = hands.looks.unbound(&order.what).await;
+            }
+            hands.calls.tell(Input::Cleared(order.what, clear));
+        });
+    }
+
+    async fn done(&self, act: &Act) -> Option<Answer> {
+        let path = match act.step {
+            Step::Drain => "/drain",
+            Step::Take => "/take",
+            Step::Return => "/return",
+            Step::CallBack => "/call-back",
+        };
+        let body = json!({"server": act.server, "window": act.window, "token": act.token});
+        let platform = &self.sections.platform;
+        let answer = fetch(platform.address, "POST", path, Some(&body), platform.timeout.0).await;
+        let what = match answer {
+            Ok((200, content)) => match serde_json::from_value::<Done>(content) {
+                Ok(done) => return Some(meaning(act.step, &done)),
+                Err(e) => e.to_string(),
+            },
+            Ok((409, content)) => match content.get("seen").and_then(Value::as_u64) {
+                Some(seen) => return Some(Answer::Refused { seen }),
+                None => "it refuses without saying which token it has seen".to_owned(),
+            },
+            Ok((status, _)) => format!("it answers {status}"),
+            Err(what) => what,
+        };
+        tracing::warn!(target: "steward", "{path} of {} failed at the platform: {what}", act.server);
+        None
+    }
+}
+
+/// What an answer means: that it is so, where the server is where the step puts it.
+fn meaning(step: Step, done: &Done) -> Answer {
+    let so = Answer::Done { started: None };
+    match (step, done.state.as_str()) {
+        (Step::Drain, "draining") | (Step::Take, "away") | (Step::Return, "returning") => so,
+        // Only a process that runs has a start of its own.
+        (Step::Return, "serving") => Answer::Done { started: done.started_ms },
+        (Step::CallBack, "serving" | "returning") => so,
+        (Step::CallBack, "away") => Answer::Taken,
+        _ => Answer::Failed,
+    }
+}
--- a/crates/steward/src/agreement/contract.rs
+++ b/crates/steward/src/agreement/contract.rs
@@ -2,6 +2,7 @@
 
 use linenproxy_store::Trouble;
 use raft::eraftpb::Message;
+use serde::Serialize;
 use std::fmt;
 
 /// What is replicated: the same events in the same order make the same machine everywhere.
@@ -86,7 +87,7 @@
 }
 
 /// Where a node stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Standing {
     /// The number of its disk.
     pub id: u64,
@@ -100,4 +101,8 @@
     pub applied: u64,
     /// Names of those with a voice.
     pub voters: Vec<String>,
+    /// Whether this disk has a voice.
+    pub voice: bool,
+    /// Whether it holds no part of any agreement.
+    pub blank: bool,
 }
--- a/crates/steward/src/agreement/node.rs
+++ b/crates/steward/src/agreement/node.rs
@@ -113,7 +113,8 @@
     /// A message came; whether it was let in.
     pub fn step(&mut self, message: Message) -> bool {
         let raft = &self.raw.raft;
-        let passes = sieve::passes(&message, raft.id, &raft.raft_log) && self.raw.step(message).is_ok();
+        let passes = sieve::passes(&message, raft.id, raft.leader_id, &raft.raft_log);
+        let passes = passes && self.raw.step(message).is_ok();
         self.draw();
         passes
     }
@@ -145,6 +146,23 @@
         }
     }
 
+    /// Hands the lead over to the steward that has most of the log, if another one with a voice was heard lately.
+    /// Whether it was asked to.
+    pub fn hand_over(&mut self) -> bool {
+        let raft = &self.raw.raft;
+        let prs = raft.prs();
+        let voters = prs.conf().voters().ids();
+        let others = prs.iter().filter(|(id, p)| **id != raft.id && voters.contains(**id) && p.recent_active);
+        let Some(heir) = others.max_by_key(|(id, p)| (p.matched, **id)).map(|(id, _)| *id) else {
+            return false;
+        };
+        let leads = self.acts();
+        if leads {
+            self.raw.transfer_leader(heir);
+        }
+        leads
+    }
+
     /// Proposes a change of members.
     pub(crate) fn change_members(&mut self, context: Vec<u8>, change: ConfChangeV2) {
         // Dropped where another one is under way: the newcomer asks again.
@@ -189,6 +207,8 @@
             acts: self.acts(),
             applied: self.applied,
             voters,
+            voice: self.members_now.voters.contains(&raft.id),
+            blank: self.members_now.voters.is_empty(),
         }
     }
 }
--- a/crates/steward/src/agreement/sieve.rs
+++ b/crates/steward/src/agreement/sieve.rs
@@ -19,8 +19,8 @@
     Message::parse_from_bytes(bytes).map_err(|e| e.to_string())
 }
 
-/// Whether the engine of `id` with this log may be given a message.
-pub(crate) fn passes<S: Storage>(message: &Message, id: u64, log: &RaftLog<S>) -> bool {
+/// Whether the engine of `id`, led by `leader`, with this log may be given a message.
+pub(crate) fn passes<S: Storage>(message: &Message, id: u64, leader: u64, log: &RaftLog<S>) -> bool {
     use MessageType::*;
     if message.to != id || message.from == id || message.from == 0 {
         return false;
@@ -46,6 +46,8 @@
         }
         MsgAppendResponse | MsgHeartbeatResponse => message.index <= log.last_index(),
         MsgRequestVote | MsgRequestVoteResponse | MsgRequestPreVote | MsgRequestPreVoteResponse => true,
+        // The leader hands its lead over.
+        MsgTimeoutNow => message.from == leader,
         // Nobody proposes, reads or hands over for another one.
         _ => false,
     }
--- /dev/null
+++ b/crates/steward/src/config.rs
@@ -0,0 +1,199 @@
+//! The steward's configuration. Changes with what can be configured.
+
+use linenproxy_common::config::{Configuration, Contradiction};
+use linenproxy_common::logging::LogSection;
+use linenproxy_common::metering::MetricsSection;
+use linenproxy_common::units::Time;
+use linenproxy_maintenance::Agreement;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+
+/// All sections.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sections {
+    pub steward: StewardSection,
+    /// Addresses of all stewards by name, this one among them.
+    pub stewards: BTreeMap<String, SocketAddr>,
+    pub platform: PlatformSection,
+    #[serde(default)]
+    pub evidence: EvidenceSection,
+    #[serde(default)]
+    pub clear: ClearSection,
+    pub agreement: Agreement,
+    #[serde(default)]
+    pub log: LogSection,
+    #[serde(default)]
+    pub metrics: MetricsSection,
+}
+
+/// This steward.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StewardSection {
+    /// Its name, one of those under `[stewards]`.
+    pub name: String,
+    /// Where it listens.
+    #[serde(default = "listen")]
+    pub listen: SocketAddr,
+    /// The file in which it keeps what is agreed.
+    pub data: PathBuf,
+    /// Time between two heartbeats of a leader.
+    #[serde(default = "heartbeat")]
+    pub heartbeat: Time,
+    /// Heartbeats that a leader may miss before others stand for election.
+    #[serde(default = "patience")]
+    pub patience: usize,
+    /// Connections at once.
+    #[serde(default = "connections")]
+    pub connections: usize,
+    /// How long one reader, caller or steward may take.
+    #[serde(default = "timeout")]
+    pub timeout: Time,
+}
+
+fn listen() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 9480))
+}
+
+/// Ten a second: an act waits for one, and a synced commit takes some milliseconds.
+fn heartbeat() -> Time {
+    Time::ms(100)
+}
+
+/// A second: longer than a busy machine or disk holds a process up as a rule.
+fn patience() -> usize {
+    10
+}
+
+fn connections() -> usize {
+    64
+}
+
+fn timeout() -> Time {
+    Time::ms(5000)
+}
+
+/// The platform that drains, takes and returns servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSection {
+    pub address: SocketAddr,
+    /// How long an act may take.
+    #[serde(default = "act_timeout")]
+    pub timeout: Time,
+    /// Acts at once.
+    #[serde(default = "at_once")]
+    pub at_once: usize,
+}
+
+/// Two acts fit into the time in which a death is answered.
+fn act_timeout() -> Time {
+    Time::ms(1000)
+}
+
+fn at_once() -> usize {
+    16
+}
+
+/// The fleet's evidence.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EvidenceSection {
+    /// Addresses of sidecars' pages, by zone.
+    pub sidecars: BTreeMap<String, Vec<SocketAddr>>,
+    /// Time between two rounds.
+    pub period: Time,
+    /// Sidecars of a zone that are asked in a round, drawn anew each time.
+    pub ask: usize,
+    /// How many of them must say the same.
+    pub agree: usize,
+    /// How long one may take to answer.
+    pub timeout: Time,
+    /// Age from which a process counts as warm where sidecars don't say so; the skew of clocks included.
+    pub warm_after: Time,
+}
+
+impl Default for EvidenceSection {
+    fn default() -> Self {
+        Self {
+            sidecars: BTreeMap::new(),
+            period: Time::ms(1000),
+            ask: 3,
+            agree: 2,
+            timeout: Time::ms(500),
+            warm_after: Time::ms(60_000),
+        }
+    }
+}
+
+/// Whether sidecars' bindings must be clear before a server is taken.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClearSection {
+    /// Whether sidecars are asked: they keep bindings.
+    pub ask: bool,
+}
+
+/// Most stewards: five bear two failures, more only make each agreement slower.
+const MOST_STEWARDS: usize = 7;
+/// Longest name of a steward, in bytes.
+const LONGEST_NAME: usize = 64;
+
+impl Configuration for Sections {
+    fn check(&self) -> Result<(), Contradiction> {
+        self.log.check()?;
+        self.metrics.check()?;
+        let wrong = |key: &str, what: String| Err(Contradiction::new(key, what));
+        let name = &self.steward.name;
+        if name.is_empty() || name.len() > LONGEST_NAME || !name.bytes().all(|b| b.is_ascii_graphic()) {
+            return wrong("steward.name", format!("must have 1 to {LONGEST_NAME} characters without spaces"));
+        }
+        if !self.stewards.contains_key(name) {
+            return wrong("steward.name", format!("{name:?} is not one of [stewards]"));
+        }
+        if self.stewards.len() > MOST_STEWARDS {
+            return wrong("stewards", format!("are more than {MOST_STEWARDS}"));
+        }
+        if self.steward.heartbeat < Time::ms(10) || self.steward.heartbeat > Time::ms(10_000) {
+            return wrong("steward.heartbeat", "must be from 10ms to 10s".to_owned());
+        }
+        if !(3..=1_000).contains(&self.steward.patience) {
+            return wrong("steward.patience", "must be from 3 to 1000 heartbeats".to_owned());
+        }
+        if !(8..=4_096).contains(&self.steward.connections) {
+            return wrong("steward.connections", "must be from 8 to 4096".to_owned());
+        }
+        if !(1..=256).contains(&self.platform.at_once) {
+            return wrong("platform.at_once", "must be from 1 to 256".to_owned());
+        }
+        for (key, time) in [
+            ("steward.timeout", self.steward.timeout),
+            ("platform.timeout", self.platform.timeout),
+            ("evidence.period", self.evidence.period),
+            ("evidence.timeout", self.evidence.timeout),
+        ] {
+            if time < Time::ms(10) || time > Time::ms(60_000) {
+                return wrong(key, "must be from 10ms to 1m".to_owned());
+            }
+        }
+        if self.evidence.agree == 0 || self.evidence.agree > self.evidence.ask {
+            return wrong("evidence.agree", format!("must be from 1 to evidence.ask, {}", self.evidence.ask));
+        }
+        if self.evidence.ask > 2 * self.evidence.agree - 1 {
+            let most = 2 * self.evidence.agree - 1;
+            return wrong(
+                "evidence.agree",
+                format!("of more than {most} asked, two camps could be as large"),
+            );
+        }
+        let period = i64::try_from(self.evidence.period.0.as_millis()).unwrap_or(i64::MAX);
+        if period >= self.agreement.evidence_bound_ms {
+            let bound = self.agreement.evidence_bound_ms;
+            return wrong("evidence.period", format!("evidence would be older than its bound, {bound} ms"));
+        }
+        self.agreement.check().map_err(|e| Contradiction::new(&format!("agreement.{}", e.key), e.reason))
+    }
+}
--- /dev/null
+++ b/crates/steward/src/core/replica.rs
@@ -0,0 +1,58 @@
+//! The windows as what is replicated. Changes with the form of events and snapshots, and then with its version.
+//!
+//! Both are JSON behind a byte with the version: whatever a steward does not know, it stops at.
+
+use crate::agreement::Replicated;
+use linenproxy_maintenance::{Event, Machine, Outcome};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The version that is written.
+const FORM: u8 = 1;
+
+/// The machine of windows.
+#[derive(Debug, Default)]
+pub struct Replica(pub Machine);
+
+/// Writes a form.
+pub(crate) fn write<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = vec![FORM];
+    // Plain data whose keys are names and numbers always has a form.
+    bytes.extend(serde_json::to_vec(value).unwrap_or_default());
+    bytes
+}
+
+/// Reads one.
+pub(crate) fn read<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    match bytes.split_first() {
+        Some((&FORM, rest)) => serde_json::from_slice(rest).map_err(|e| e.to_string()),
+        Some((found, _)) => Err(format!("its form is {found}, this program reads {FORM}")),
+        None => Err("it is empty".to_owned()),
+    }
+}
+
+/// An event as it is agreed on.
+pub(crate) fn event(event: &Event) -> Vec<u8> {
+    write(event)
+}
+
+/// The answer to an event, as a node gives it.
+pub(crate) fn outcome(bytes: &[u8]) -> Option<Outcome> {
+    read(bytes).ok()
+}
+
+impl Replicated for Replica {
+    fn apply(&mut self, at_ms: i64, event: &[u8]) -> Result<Vec<u8>, String> {
+        let event: Event = read(event)?;
+        Ok(write(&self.0.apply(at_ms, event)))
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        write(&self.0)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), String> {
+        self.0 = read(snapshot)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/steward/src/core/steward.rs
@@ -0,0 +1,179 @@
+//! What a steward does with what it is told. Changes with what may be told.
+
+use super::contract::{Input, Now, Output, Reply, Settings, View};
+use super::lead::{Lead, Own};
+use super::replica::{self, Replica};
+use crate::agreement::{Halt, Message, Node, Options, Refused, Shelf, Standing};
+use linenproxy_maintenance::Event;
+use std::collections::BTreeMap;
+
+/// One steward.
+pub struct Steward {
+    pub(super) node: Node<Replica>,
+    pub(super) settings: Settings,
+    pub(super) lead: Lead,
+    pub(super) output: Output,
+    /// Names by disks' numbers, from those who have sent something.
+    places: BTreeMap<u64, String>,
+    tickets: BTreeMap<u64, Whose>,
+    last_ticket: u64,
+}
+
+/// Who waits for an answer.
+#[derive(Clone, Debug)]
+pub(super) enum Whose {
+    Caller(u64),
+    Own(Own),
+}
+
+impl Steward {
+    /// A steward on what its shelf holds; `found` makes a blank one the first of a new agreement, and must be given to
+    /// one steward, once, where no other has any part of one.
+    ///
+    /// # Errors
+    /// The disk fails, or holds what this program does not know.
+    pub fn new(shelf: Shelf, options: Options, settings: Settings, found: bool) -> Result<Self, Halt> {
+        Ok(Self {
+            node: Node::new(shelf, Replica::default(), options, found)?,
+            settings,
+            lead: Lead::default(),
+            output: Output::default(),
+            places: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            last_ticket: 0,
+        })
+    }
+
+    /// Takes something in. What it comes to is given by [`Steward::drive`], which must follow; several may be taken in
+    /// before.
+    pub fn take(&mut self, now: Now, input: Input) {
+        match input {
+            Input::Tick => {
+                self.node.tick();
+                self.duties(now);
+            }
+            Input::Message(from, message) => self.hear(from, message),
+            Input::Bring(caller, event) => {
+                let refused = match &event {
+                    Event::Ask(_) if self.node.acts() && !self.lead.looked => Err(Reply::Looking),
+                    _ => self.propose(now, Whose::Caller(caller), &event).map_err(|why| match why {
+                        Refused::NotLeader => Reply::NotLeader,
+                        Refused::Founding => Reply::Founding,
+                        Refused::Busy => Reply::Busy,
+                    }),
+                };
+                self.output.replies.extend(refused.err().map(|reply| (caller, reply)));
+            }
+            Input::Admit(caller, id, name) => {
+                let known = self.settings.names.contains(&name) && id != 0;
+                let reply = if known { Reply::Admission(self.node.admit(id, &name)) } else { Reply::Busy };
+                self.output.replies.push((caller, reply));
+            }
+            Input::Listed(list) => self.listed(now, list),
+            Input::Evidence(words) => self.own(now, Own::Evidence, &Event::Evidence(words)),
+            Input::Acted(act, answer) => self.acted(now, act, answer),
+            Input::Cleared(question, clear) => self.cleared(now, question, clear),
+            Input::StepDown => {
+                if self.node.hand_over() {
+                    self.output.notes.push("hands the lead over".to_owned());
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, from: String, message: Message) {
+        if !self.settings.names.contains(&from) {
+            return;
+        }
+        if self.places.get(&message.from) != Some(&from) {
+            // One disk a name: the last that spoke.
+            self.places.retain(|_, name| *name != from);
+            self.places.insert(message.from, from);
+        }
+        self.node.step(message);
+    }
+
+    /// Proposes an event; whose the answer is.
+    pub(super) fn propose(&mut self, now: Now, whose: Whose, event: &Event) -> Result<(), Refused> {
+        self.last_ticket += 1;
+        self.node.propose(now.unix_ms, self.last_ticket, replica::event(event))?;
+        self.tickets.insert(self.last_ticket, whose);
+        Ok(())
+    }
+
+    /// Asks a majority whether this steward leads.
+    pub(super) fn ask_majority(&mut self) -> u64 {
+        self.last_ticket += 1;
+        self.node.confirm(self.last_ticket);
+        self.last_ticket
+    }
+
+    /// Keeps and applies what the steps so far came to; what is to be done about it.
+    ///
+    /// # Errors
+    /// The steward must stop, and nothing of it may be sent. Its callers are not answered: [`Steward::callers`].
+    pub fn drive(&mut self, now: Now) -> Result<Output, Halt> {
+        let effects = self.node.drive()?;
+        for message in effects.messages {
+            let name = self.node.members().get(&message.to).or_else(|| self.places.get(&message.to));
+            if let Some(name) = name {
+                self.output.messages.push((name.clone(), message));
+            }
+        }
+        for (ticket, answer) in effects.answers {
+            match (self.tickets.remove(&ticket), replica::outcome(&answer)) {
+                (Some(Whose::Caller(caller)), outcome) => {
+                    let reply = outcome.map_or(Reply::Lost, Reply::Agreed);
+                    self.output.replies.push((caller, reply));
+                }
+                (Some(Whose::Own(own)), outcome) => self.answered(&own, outcome),
+                (None, _) => {}
+            }
+        }
+        for ticket in effects.lost {
+            match self.tickets.remove(&ticket) {
+                Some(Whose::Caller(caller)) => self.output.replies.push((caller, Reply::Lost)),
+                Some(Whose::Own(own)) => self.lead.waits.retain(|waits| *waits != own),
+                None => {}
+            }
+        }
+        for ticket in effects.confirmed {
+            self.confirmed(now, ticket);
+        }
+        Ok(std::mem::take(&mut self.output))
+    }
+
+    /// Callers who wait for an answer.
+    pub fn callers(&self) -> Vec<u64> {
+        let callers = self.tickets.values().filter_map(|whose| match whose {
+            Whose::Caller(caller) => Some(*caller),
+            Whose::Own(_) => None,
+        });
+        callers.collect()
+    }
+
+    /// Where it stands in the agreement.
+    pub fn standing(&self) -> Standing {
+        self.node.standing()
+    }
+
+    /// Where it stands and what it knows.
+    pub fn view(&self, now: Now) -> View {
+        let machine = &self.node.machine().0;
+        let standing = self.node.standing();
+        View {
+            looked: standing.acts && self.lead.looked,
+            windows: machine.windows(),
+            capacity: machine.capacity(now.unix_ms),
+            servers: machine.servers().len(),
+            token: machine.last_token(),
+            due: machine.due(now.unix_ms).len(),
+            standing,
+        }
+    }
+
+    /// The machine of windows.
+    pub fn machine(&self) -> &linenproxy_maintenance::Machine {
+        &self.node.machine().0
+    }
+}
--- /dev/null
+++ b/crates/steward/src/figures.rs
@@ -0,0 +1,70 @@
+//! The steward's figures. Changes with what on-call counts.
+
+use crate::calls::Calls;
+use crate::keeper::Seen;
+use crate::looks::Looks;
+use crate::peers::Peers;
+use linenproxy_common::metering::{Figures, Page};
+use linenproxy_maintenance::State;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// What figures are read from.
+#[derive(Clone)]
+pub struct Sources {
+    pub figures: Rc<Figures>,
+    pub seen: watch::Receiver<Arc<Seen>>,
+    pub calls: Calls,
+    pub peers: Peers,
+    pub looks: Rc<Looks>,
+}
+
+impl Sources {
+    /// The page of the metrics.
+    pub fn page(&self) -> Page {
+        let figures = &self.figures;
+        let gauge = |name, what, value: f64| figures.gauge(name, what, &[]).set(value);
+        let seen = Arc::clone(&self.seen.borrow());
+        gauge(
+            "steward_stands_back",
+            "1 while the disk fails or holds what this program does not know.",
+            f64::from(u8::from(seen.halted.is_some())),
+        );
+        if let Some(view) = &seen.view {
+            let standing = &view.standing;
+            let yes = |it: bool| f64::from(u8::from(it));
+            gauge("steward_acts", "1 while it leads.", yes(standing.acts));
+            gauge("steward_voice", "1 while its disk has a voice.", yes(standing.voice));
+            gauge("steward_term", "Term of the agreement.", standing.term as f64);
+            gauge("steward_applied", "Last agreed entry that it took in.", standing.applied as f64);
+            gauge("steward_token", "Last token.", view.token as f64);
+            gauge("steward_servers", "Servers of the list.", view.servers as f64);
+            for state in [State::Asked, State::Booked, State::Draining, State::Clear, State::Away] {
+                let seats = view.windows.iter().flat_map(|window| &window.seats);
+                let count = seats.filter(|seat| seat.state == state).count();
+                let word = format!("{state:?}").to_lowercase();
+                let name = "steward_seats";
+                figures.gauge(name, "Servers in windows, by state.", &[("state", &word)]).set(count as f64);
+            }
+            if let Some(capacity) = &view.capacity {
+                gauge("steward_holds", "1 while the agreement holds.", yes(capacity.holds));
+                gauge(
+                    "steward_away",
+                    "Servers away, by grant, dead or unheard of.",
+                    f64::from(capacity.away),
+                );
+            }
+        }
+        let (answered, asked) = self.looks.answered.get();
+        gauge("steward_sidecars_asked", "Sidecars asked in the last round.", asked as f64);
+        gauge("steward_sidecars_answered", "Those that answered.", answered as f64);
+        let name = "steward_messages_dropped_total";
+        figures.counter(name, "Messages not brought to other stewards.", &[]).absolute(self.peers.dropped());
+        let name = "steward_inputs_missed_total";
+        figures
+            .counter(name, "What the agreement's thread had no room for.", &[])
+            .absolute(self.calls.missed());
+        Page::metrics(figures.text())
+    }
+}
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -3,3 +3,5 @@
 #![warn(missing_docs)]
 
 pub mod agreement;
+pub mod core;
+pub mod evidence;
--- /dev/null
+++ b/crates/steward/src/looks.rs
@@ -0,0 +1,200 @@
+//! Looks at the platform's list and at the fleet's evidence, while this steward leads. Changes with whom it asks, and
+//! how often.
+
+use crate::calls::Calls;
+use crate::clock::Clock;
+use crate::config::{EvidenceSection, Sections};
+use crate::fetch::fetch;
+use crate::keeper::Seen;
+use linenproxy_maintenance::Server;
+use linenproxy_steward::core::Input;
+use linenproxy_steward::evidence::{Heard, Page, Weights, weigh};
+use serde::{Deserialize, Deserializer};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+/// Sidecars that are asked at once.
+const AT_ONCE: usize = 32;
+/// A list of this age is as good as a new one for whoever waits for a server to be idle.
+const FRESH: Duration = Duration::from_millis(200);
+
+/// A server as the platform lists it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listed {
+    name: String,
+    zone: String,
+    #[serde(default)]
+    group: String,
+    weight: u32,
+    started_ms: u64,
+    state: String,
+    /// Requests that run there; null where the platform can't tell yet, left out where it never can.
+    #[serde(default, deserialize_with = "present")]
+    in_flight: Option<Option<u64>>,
+}
+
+fn present<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Option<u64>>, D::Error> {
+    Option::deserialize(from).map(Some)
+}
+
+/// The looks.
+pub struct Looks {
+    sections: Sections,
+    clock: Clock,
+    seen: watch::Receiver<Arc<Seen>>,
+    calls: Calls,
+    list: RefCell<Option<(Instant, Vec<Listed>)>>,
+    /// The platform's last failure, so that it is written once.
+    failure: RefCell<String>,
+    /// Sidecars that answered in the last round, and that were asked.
+    pub answered: Cell<(usize, usize)>,
+}
+
+impl Looks {
+    pub fn new(
+        sections: &Sections,
+        clock: Clock,
+        seen: watch::Receiver<Arc<Seen>>,
+        calls: Calls,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            sections: sections.clone(),
+            clock,
+            seen,
+            calls,
+            list: RefCell::default(),
+            failure: RefCell::default(),
+            answered: Cell::default(),
+        })
+    }
+
+    /// Looks until the process ends.
+    pub async fn run(self: Rc<Self>) {
+        let mut rounds = interval(self.sections.evidence.period.0);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut seen = self.seen.clone();
+        loop {
+            let leads = |seen: &Arc<Seen>| seen.view.as_ref().is_some_and(|view| view.standing.acts);
+            if seen.wait_for(leads).await.is_err() {
+                return;
+            }
+            rounds.tick().await;
+            self.round().await;
+        }
+    }
+
+    async fn round(&self) {
+        let servers = match self.listed(Duration::ZERO).await {
+            Ok(list) => {
+                let servers: Vec<Server> = list.into_iter().map(server).collect();
+                self.calls.tell(Input::Listed(servers.clone()));
+                servers
+            }
+            // Evidence is of use without a new list, on those of the last one.
+            Err(_) => self.known(),
+        };
+        let heard = self.pages().await;
+        let evidence = &self.sections.evidence;
+        let agree = evidence.sidecars.iter();
+        let agree = agree.map(|(zone, all)| (zone.clone(), evidence.agree.min(all.len()))).collect();
+        let warm_after_ms = i64::try_from(evidence.warm_after.0.as_millis()).unwrap_or(i64::MAX);
+        let words = weigh(&Weights { agree, warm_after_ms }, self.clock.now().unix_ms, &servers, &heard);
+        self.calls.tell(Input::Evidence(words));
+    }
+
+    fn known(&self) -> Vec<Server> {
+        let list = self.list.borrow();
+        list.iter().flat_map(|(_, list)| list.iter().cloned().map(server)).collect()
+    }
+
+    /// The platform's list, at most so old.
+    pub async fn listed(&self, age: Duration) -> Result<Vec<Listed>, String> {
+        if let Some((at, list)) = self.list.borrow().as_ref()
+            && at.elapsed() < age
+        {
+            return Ok(list.clone());
+        }
+        let asked = Instant::now();
+        let platform = &self.sections.platform;
+        let list = match fetch(platform.address, "GET", "/servers", None, platform.timeout.0).await {
+            Ok((200, list)) => serde_json::from_value::<Vec<Listed>>(list).map_err(|e| e.to_string()),
+            Ok((status, _)) => Err(format!("it answers {status}")),
+            Err(what) => Err(what),
+        };
+        match &list {
+            Ok(list) => {
+                if !self.failure.take().is_empty() {
+                    tracing::info!(target: "steward", "the platform lists its servers again");
+                }
+                self.list.replace(Some((asked, list.clone())));
+            }
+            Err(what) => {
+                if *self.failure.borrow() != *what {
+                    tracing::warn!(target: "steward", "no list from the platform {}: {what}", platform.address);
+                }
+                self.failure.replace(what.clone());
+            }
+        }
+        list
+    }
+
+    /// Whether nothing runs at a server that drains, by the platform's word of after the drain.
+    pub async fn idle(&self, name: &str) -> bool {
+        let Ok(list) = self.listed(FRESH).await else { return false };
+        let server = list.iter().find(|server| server.name == name);
+        server.is_some_and(|s| s.state == "draining" && s.in_flight.is_none_or(|count| count == Some(0)))
+    }
+
+    /// Addresses of so many sidecars of each zone, drawn anew.
+    pub fn draw(&self) -> Vec<(String, SocketAddr)> {
+        let evidence = &self.sections.evidence;
+        let mut drawn = Vec::new();
+        for (zone, all) in &evidence.sidecars {
+            let mut all = all.clone();
+            fastrand::shuffle(&mut all);
+            drawn.extend(all.into_iter().take(evidence.ask).map(|at| (zone.clone(), at)));
+        }
+        drawn
+    }
+
+    /// How the fleet is asked.
+    pub fn evidence(&self) -> &EvidenceSection {
+        &self.sections.evidence
+    }
+
+    async fn pages(&self) -> Vec<Heard> {
+        let (within, bound) = (self.sections.evidence.timeout.0, Rc::new(Semaphore::new(AT_ONCE)));
+        let mut asking = JoinSet::new();
+        let drawn = self.draw();
+        let asked = drawn.len();
+        for (zone, at) in drawn {
+            let bound = Rc::clone(&bound);
+            asking.spawn_local(async move {
+                let _permit = bound.acquire().await;
+                let begun = Instant::now();
+                let (status, page) = fetch(at, "GET", "/fleet/servers", None, within).await.ok()?;
+                let page: Page = serde_json::from_value(page).ok().filter(|_| status == 200)?;
+                Some((zone, begun, page))
+            });
+        }
+        let mut pages = Vec::new();
+        while let Some(page) = asking.join_next().await {
+            pages.extend(page.ok().flatten());
+        }
+        self.answered.set((pages.len(), asked));
+        let ago = |begun: Instant| u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let heard = |(zone, begun, page)| Heard { zone, asked_ago_ms: ago(begun), page };
+        pages.into_iter().map(heard).collect()
+    }
+}
+
+fn server(listed: Listed) -> Server {
+    let Listed { name, zone, group, weight, started_ms: started, .. } = listed;
+    Server { name, zone, group, weight, started }
+}
--- /dev/null
+++ b/crates/steward/src/main.rs
@@ -0,0 +1,86 @@
+//! linenproxy-steward: three or five of them decide what only one may decide. Changes with the program's command line.
+#![forbid(unsafe_code)]
+
+mod acts;
+mod bindings;
+mod calls;
+mod clock;
+mod config;
+mod fetch;
+mod figures;
+mod joining;
+mod keeper;
+mod looks;
+mod pages;
+mod peers;
+mod run;
+mod serve;
+
+use clap::{Parser, Subcommand};
+use linenproxy_common::cli::{self, Exit};
+use linenproxy_common::config as files;
+use linenproxy_common::logging;
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The program's name, in its lines.
+const NAME: &str = "linenproxy-steward";
+
+/// A steward: one of three or five processes that agree on maintenance windows and carry them out.
+#[derive(Parser)]
+#[command(name = "linenproxy-steward", subcommand_negates_reqs = true)]
+struct Call {
+    /// Runs a steward with this configuration: a TOML file, see docs/steward.md.
+    #[arg(long, value_name = "FILE", required = true)]
+    config: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a steward.
+    Run {
+        /// Its configuration: a TOML file, see docs/steward.md.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Read it, print what would hold, defaults included, and exit.
+        #[arg(long)]
+        check: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    let call: Call = match cli::parse() {
+        Ok(call) => call,
+        Err(exit) => return exit.into(),
+    };
+    match (call.command, call.config) {
+        (Some(Command::Run { config, check }), _) => steward(&config, check),
+        (None, Some(config)) => steward(&config, false),
+        (None, None) => Exit::Usage.into(),
+    }
+}
+
+fn steward(file: &std::path::Path, check: bool) -> ExitCode {
+    let plain = |what: &dyn std::fmt::Display, exit: Exit| {
+        let _ = writeln!(std::io::stderr(), "{NAME}: {what}");
+        ExitCode::from(exit)
+    };
+    let sections: config::Sections = match files::load(file) {
+        Ok(sections) => sections,
+        Err(problem) => return plain(&problem, Exit::Config),
+    };
+    if check {
+        let _ = write!(std::io::stdout(), "{}", files::written(&sections));
+        return Exit::Done.into();
+    }
+    let log = logging::start(&sections.log, NAME);
+    let ended = run::run(sections);
+    if let Err((what, _)) = &ended {
+        tracing::error!(target: "steward", "{what}");
+    }
+    log.flush();
+    ended.map_or_else(|(_, exit)| exit.into(), |()| ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/steward/src/pages.rs
@@ -0,0 +1,243 @@
+//! The steward's pages: what people, tools and other stewards ask for. Changes with the interface; docs/steward.md
+//! describes it.
+
+use crate::calls::Calls;
+use crate::clock::Clock;
+use crate::config::Sections;
+use crate::keeper::Seen;
+use crate::peers::{self, Peers};
+use crate::serve::{Answer, Asked};
+use hyper::StatusCode;
+use linenproxy_maintenance::{Event, Outcome, Refusal, Request};
+use linenproxy_steward::agreement::Admission;
+use linenproxy_steward::core::{Input, Reply};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Longest content of a request by people, in bytes.
+const LONGEST: usize = 256 << 10;
+
+/// What pages are made from.
+#[derive(Clone)]
+pub struct Pages {
+    sections: Rc<Sections>,
+    clock: Clock,
+    calls: Calls,
+    seen: watch::Receiver<Arc<Seen>>,
+    peers: Peers,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Finished {
+    server: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Join {
+    name: String,
+    disk: String,
+}
+
+impl Pages {
+    pub fn new(
+        sections: &Sections,
+        clock: Clock,
+        calls: Calls,
+        seen: watch::Receiver<Arc<Seen>>,
+        peers: Peers,
+    ) -> Self {
+        Self { sections: Rc::new(sections.clone()), clock, calls, seen, peers }
+    }
+
+    /// Answers a request.
+    pub async fn answer(self, asked: Asked, steward: Rc<Cell<bool>>) -> Answer {
+        let parts: Vec<&str> = asked.path.trim_matches('/').split('/').collect();
+        let number = |text: &str| text.parse::<u64>().ok();
+        if asked.path != peers::PATH && asked.content.len() > LONGEST {
+            let what = format!("the content is longer than {LONGEST} bytes");
+            return Answer::wrong(StatusCode::PAYLOAD_TOO_LARGE, None, what);
+        }
+        match (asked.method.as_str(), parts.as_slice()) {
+            ("GET", ["status"]) => Answer::of(StatusCode::OK, self.status()),
+            ("GET", ["windows"]) => self.shown(|view| json!(view.windows)),
+            ("GET", ["windows", id]) => match number(id) {
+                Some(id) => self.window(id),
+                None => missing(),
+            },
+            ("GET", ["capacity"]) => self.shown(|view| json!(view.capacity)),
+            ("POST", ["windows"]) => match parsed::<Request>(&asked.content) {
+                Ok(request) => self.bring(Event::Ask(request)).await,
+                Err(wrong) => wrong,
+            },
+            ("POST", ["windows", id, "cancel"]) => match number(id) {
+                Some(window) => self.bring(Event::Cancel { window }).await,
+                None => missing(),
+            },
+            ("POST", ["windows", id, "finished"]) => match (number(id), parsed::<Finished>(&asked.content)) {
+                (Some(window), Ok(Finished { server })) => {
+                    self.bring(Event::Finished { window, server }).await
+                }
+                (_, Err(wrong)) => wrong,
+                (None, _) => missing(),
+            },
+            ("POST", ["step-down"]) => match self.calls.tell(Input::StepDown) {
+                true => Answer::of(StatusCode::ACCEPTED, json!({"outcome": "asked"})),
+                false => self.replied(Reply::Busy),
+            },
+            ("POST", ["agreement", "messages"]) => self.messages(&asked, &steward),
+            ("POST", ["agreement", "join"]) => match parsed::<Join>(&asked.content) {
+                Ok(Join { name, disk }) => self.join(name, &disk).await,
+                Err(wrong) => wrong,
+            },
+            (_, ["status" | "windows" | "capacity" | "step-down" | "agreement", ..]) => {
+                Answer::wrong(StatusCode::METHOD_NOT_ALLOWED, None, "no such method here")
+            }
+            _ => missing(),
+        }
+    }
+
+    fn shown(&self, what: impl Fn(&linenproxy_steward::core::View) -> Value) -> Answer {
+        match self.seen.borrow().view.as_ref() {
+            Some(view) => Answer::of(StatusCode::OK, what(view)),
+            None => Answer::wrong(StatusCode::SERVICE_UNAVAILABLE, None, "this steward stands back"),
+        }
+    }
+
+    fn window(&self, id: u64) -> Answer {
+        let seen = self.seen.borrow();
+        let found = seen.view.as_ref().and_then(|view| view.windows.iter().find(|w| w.window == id));
+        found.map_or_else(missing, |window| Answer::of(StatusCode::OK, json!(window)))
+    }
+
+    /// What on-call wants to see of this steward.
+    pub fn status(&self) -> Value {
+        let seen = Arc::clone(&self.seen.borrow());
+        let late_ms = self.clock.now().mono_ms.saturating_sub(seen.at_ms);
+        let own = &self.sections.steward;
+        let bound = own.heartbeat.0.as_millis() * own.patience as u128;
+        let mut status = json!({"name": own.name, "halted": seen.halted, "late_ms": late_ms});
+        if let Some(view) = &seen.view {
+            let standing = &view.standing;
+            status["disk"] = json!(standing.id.to_string());
+            status["term"] = json!(standing.term);
+            status["leader"] = json!(standing.leader);
+            // A thread that the disk holds up acts on nothing.
+            status["acts"] = json!(standing.acts && u128::from(late_ms) < bound);
+            status["looked"] = json!(view.looked);
+            status["voice"] = json!(standing.voice);
+            status["blank"] = json!(standing.blank);
+            status["voters"] = json!(standing.voters);
+            status["applied"] = json!(standing.applied);
+            status["servers"] = json!(view.servers);
+            status["token"] = json!(view.token);
+            status["due"] = json!(view.due);
+            let open = view.windows.iter().filter(|w| w.state != linenproxy_maintenance::State::Closed);
+            status["open_windows"] = json!(open.count());
+            status["holds"] = json!(view.capacity.as_ref().map(|capacity| capacity.holds));
+        }
+        status["messages_dropped"] = json!(self.peers.dropped());
+        status["inputs_missed"] = json!(self.calls.missed());
+        status
+    }
+
+    async fn bring(&self, event: Event) -> Answer {
+        let reply = self.calls.bring(event).await;
+        self.replied(reply)
+    }
+
+    async fn join(&self, name: String, disk: &str) -> Answer {
+        let Ok(id) = disk.parse::<u64>() else {
+            return Answer::wrong(StatusCode::BAD_REQUEST, Some("disk"), "is no number");
+        };
+        if !self.sections.stewards.contains_key(&name) {
+            return Answer::wrong(StatusCode::BAD_REQUEST, Some("name"), "is not one of [stewards]");
+        }
+        let reply = self.calls.admit(id, name).await;
+        self.replied(reply)
+    }
+
+    fn messages(&self, asked: &Asked, steward: &Cell<bool>) -> Answer {
+        let known = asked.from.as_ref().filter(|name| self.sections.stewards.contains_key(*name));
+        let Some(from) = known else {
+            return Answer::wrong(StatusCode::BAD_REQUEST, Some(peers::FROM), "is not one of [stewards]");
+        };
+        match peers::read(&asked.content) {
+            Ok(messages) => {
+                steward.set(true);
+                for message in messages {
+                    // What is not taken is lost, as on any network.
+                    self.calls.tell(Input::Message(from.clone(), message));
+                }
+                Answer { status: StatusCode::NO_CONTENT, content: None }
+            }
+            Err(what) => Answer::wrong(StatusCode::BAD_REQUEST, None, what),
+        }
+    }
+
+    fn replied(&self, reply: Reply) -> Answer {
+        let later = |what: &str| Answer::wrong(StatusCode::SERVICE_UNAVAILABLE, None, what);
+        match reply {
+            Reply::Agreed(outcome) => came_to(outcome),
+            Reply::Admission(Admission::Member) => Answer::of(StatusCode::OK, json!({"admission": "member"})),
+            Reply::Admission(Admission::UnderWay) => {
+                Answer::of(StatusCode::OK, json!({"admission": "under_way"}))
+            }
+            Reply::Admission(Admission::NameTaken) => {
+                Answer::wrong(StatusCode::CONFLICT, Some("name"), "a living steward has it")
+            }
+            Reply::Admission(Admission::NotLeader) | Reply::NotLeader => self.elsewhere(),
+            Reply::Founding => later("too few stewards have a voice yet"),
+            Reply::Looking => later("the leader has not looked at servers and fleet yet"),
+            Reply::Busy => later("too much waits"),
+            Reply::Lost => later("whether it is agreed on is not known; ask again"),
+        }
+    }
+
+    fn elsewhere(&self) -> Answer {
+        let seen = self.seen.borrow();
+        let leader = seen.view.as_ref().and_then(|view| view.standing.leader.clone());
+        let leader = leader.filter(|leader| *leader != self.sections.steward.name);
+        let at = leader.as_ref().and_then(|name| self.sections.stewards.get(name));
+        let content = json!({"error": "this steward does not lead", "leader": leader, "address": at});
+        Answer::of(StatusCode::SERVICE_UNAVAILABLE, content)
+    }
+}
+
+fn missing() -> Answer {
+    Answer::wrong(StatusCode::NOT_FOUND, None, "no such page")
+}
+
+fn came_to(outcome: Outcome) -> Answer {
+    match outcome {
+        Outcome::Booked { .. } => Answer::of(StatusCode::OK, json!(outcome)),
+        Outcome::Infeasible { .. } => Answer::of(StatusCode::CONFLICT, json!(outcome)),
+        Outcome::Taken | Outcome::Ignored => Answer::of(StatusCode::OK, json!({"outcome": outcome})),
+        Outcome::Refused(Refusal::Invalid(e)) => {
+            Answer::wrong(StatusCode::BAD_REQUEST, Some(&e.key), e.reason)
+        }
+        Outcome::Refused(Refusal::Unknown(what)) => {
+            Answer::wrong(StatusCode::UNPROCESSABLE_ENTITY, None, format!("there is no {what}"))
+        }
+        Outcome::Refused(Refusal::Full(what)) => Answer::wrong(StatusCode::TOO_MANY_REQUESTS, None, what),
+        Outcome::Refused(Refusal::NoAgreement) => {
+            Answer::wrong(StatusCode::SERVICE_UNAVAILABLE, None, "there is no agreement yet")
+        }
+    }
+}
+
+/// Content as what it should be, or what is wrong with it.
+fn parsed<T: DeserializeOwned>(content: &[u8]) -> Result<T, Answer> {
+    let reader = &mut serde_json::Deserializer::from_slice(content);
+    serde_path_to_error::deserialize(reader).map_err(|e| {
+        let key = e.path().to_string();
+        let key = Some(key.as_str()).filter(|key| *key != ".");
+        Answer::wrong(StatusCode::BAD_REQUEST, key, e.inner().to_string())
+    })
+}
--- /dev/null
+++ b/crates/steward/src/run.rs
@@ -0,0 +1,123 @@
+//! Runs a steward: sockets, time, signals. Changes with what the parts of the process owe each other.
+
+use crate::acts::Hands;
+use crate::calls::Calls;
+use crate::clock::Clock;
+use crate::config::Sections;
+use crate::figures::Sources;
+use crate::keeper::{self, Given, Keeper, Told};
+use crate::looks::Looks;
+use crate::pages::Pages;
+use crate::peers::{self, Peers};
+use crate::{joining, serve};
+use linenproxy_common::cli::Exit;
+use linenproxy_common::metering::{self, Bounds, Figures};
+use linenproxy_steward::core::Input;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+
+/// How long a leader that is told to stop waits for another one to lead, at most.
+const HANDS_OVER_WITHIN: Duration = Duration::from_millis(1_500);
+/// How long the disk may take to be closed.
+const CLOSES_WITHIN: Duration = Duration::from_millis(500);
+
+/// Why the process ends, in one line, and the code that it ends with.
+type Failure = (String, Exit);
+
+/// Runs until it is told to stop.
+pub fn run(sections: Sections) -> Result<(), Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| (format!("cannot start the runtime: {e}"), Exit::Unavailable))?;
+    let ended = LocalSet::new().block_on(&runtime, steward(&sections));
+    // The disk may hold its thread up for ever: nobody waits for that.
+    runtime.shutdown_background();
+    ended
+}
+
+async fn steward(sections: &Sections) -> Result<(), Failure> {
+    let unavailable = |what: String| (what, Exit::Unavailable);
+    let own = &sections.steward;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| unavailable(e.to_string()))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| unavailable(e.to_string()))?;
+    let listener = TcpListener::bind(own.listen).await;
+    let listener = listener.map_err(|e| unavailable(format!("cannot listen on {}: {e}", own.listen)))?;
+    let clock = Clock::new();
+    let keeper = keeper::start(sections, clock);
+    let Keeper { told, mut given, seen } = keeper.map_err(|e| unavailable(e.to_string()))?;
+    let calls = Calls::new(told, own.timeout.0);
+    let peers = Peers::start(&own.name, &sections.stewards, own.timeout.0);
+    let looks = Looks::new(sections, clock, seen.clone(), calls.clone());
+    let hands = Hands::new(sections, clock, calls.clone(), Rc::clone(&looks));
+    let pages = Pages::new(sections, clock, calls.clone(), seen.clone(), peers.clone());
+    if sections.metrics.enabled {
+        let (figures, at) = (Rc::new(Figures::new()), sections.metrics.address);
+        let metrics = TcpListener::bind(at).await;
+        let metrics =
+            metrics.map_err(|e| unavailable(format!("cannot listen on metrics.address {at}: {e}")))?;
+        spawn_local(Rc::clone(&figures).upkeep());
+        let (calls, looks, seen) = (calls.clone(), Rc::clone(&looks), seen.clone());
+        let sources = Sources { figures, seen, calls, peers: peers.clone(), looks };
+        let page = move |path: String| {
+            let sources = sources.clone();
+            async move { (path == "/metrics").then(|| sources.page()) }
+        };
+        spawn_local(metering::serve(metrics, Bounds::of(&sections.metrics), page));
+    }
+    let answer = move |asked, steward| pages.clone().answer(asked, steward);
+    spawn_local(serve::serve(listener, own.connections, own.timeout.0, peers::LONGEST, answer));
+    spawn_local(looks.run());
+    spawn_local(joining::join(sections.clone(), calls.clone(), seen.clone()));
+    tracing::info!(target: "steward", "{} listens on {}", own.name, own.listen);
+
+    let mut ticks = interval(own.heartbeat.0);
+    // One that was stopped has not heard the heartbeats that it missed.
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut leads = false;
+    let mut until: Option<Instant> = None;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                calls.tell(Input::Tick);
+                let acts = seen.borrow().view.as_ref().is_some_and(|view| view.standing.acts);
+                if acts != leads {
+                    leads = acts;
+                    tracing::info!(target: "steward", "{}", if leads { "leads now" } else { "leads no more" });
+                }
+                if until.is_some() && !acts {
+                    break;
+                }
+            }
+            next = given.recv() => match next {
+                Some(Given::Output(output)) => {
+                    output.messages.iter().for_each(|(to, message)| peers.send(to, message));
+                    output.replies.into_iter().for_each(|(caller, reply)| calls.answered(caller, reply));
+                    output.acts.into_iter().for_each(|order| hands.act(order));
+                    output.questions.into_iter().for_each(|order| hands.question(order));
+                    output.notes.iter().for_each(|note| tracing::info!(target: "steward", "{note}"));
+                }
+                Some(Given::Line(true, line)) => tracing::warn!(target: "steward", "{line}"),
+                Some(Given::Line(false, line)) => tracing::info!(target: "steward", "{line}"),
+                None => return Err(("the agreement's thread has failed".to_owned(), Exit::Software)),
+            },
+            _ = term.recv(), if until.is_none() => until = Some(told_to_stop(&calls)),
+            _ = int.recv(), if until.is_none() => until = Some(told_to_stop(&calls)),
+            () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => break,
+        }
+    }
+    calls.send(Told::End);
+    let closed = async { while given.recv().await.is_some() {} };
+    let _ = tokio::time::timeout(CLOSES_WITHIN, closed).await;
+    Ok(())
+}
+
+fn told_to_stop(calls: &Calls) -> Instant {
+    tracing::info!(target: "steward", "told to stop");
+    calls.tell(Input::StepDown);
+    Instant::now() + HANDS_OVER_WITHIN
+}
