Keep what a sidecar knows over crashes, checked and with its age, beside the request path

A sidecar came back from nothing: an old list, no circuits, no pace. crates/recovery keeps the list with its version, verdicts and pace by endpoint process, the product configuration, the last life; one thread writes, what waits for it is replaced part by part, an incarnation is on the disk before it is used. A start sets aside what fails its checks or cannot be plausible, and goes on.

--- /dev/null
+++ b/crates/recovery/src/form.rs
@@ -0,0 +1,92 @@
+//! How what is kept is written: the version of the form, then the thing itself. Changes with the form, and then
+//! [`SCHEMA`] does too, and the form before is read beside it.
+
+use crate::known::{Changes, Known};
+use linenproxy_store::{Change, Store, Trouble};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt;
+
+/// The version of the form that is written.
+pub const SCHEMA: u16 = 1;
+
+/// Rooms of the store, one for each thing; it lies under number 0.
+const LIST: &str = "list";
+const PROCESSES: &str = "processes";
+const CONFIGURATION: &str = "configuration";
+const LIFE: &str = "life";
+const ROOMS: [&str; 4] = [LIST, PROCESSES, CONFIGURATION, LIFE];
+
+/// Why what is kept was not read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// It is in a form that this program does not know: likely a newer one's.
+    Schema(u16),
+    /// It has not the form that it says.
+    Form(&'static str),
+    /// The disk could not be read.
+    Trouble(Trouble),
+}
+
+impl fmt::Display for Unread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Schema(found) => write!(f, "it is in form {found}, this program reads up to {SCHEMA}"),
+            Self::Form(what) => write!(f, "its {what} has no such form"),
+            Self::Trouble(trouble) => trouble.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Unread {}
+
+/// Reads all that is kept.
+///
+/// # Errors
+/// A part of it cannot be read: then none is to be believed.
+pub(crate) fn read(store: &Store) -> Result<Known, Unread> {
+    Ok(Known {
+        list: part(store, LIST)?,
+        processes: part(store, PROCESSES)?,
+        configuration: part(store, CONFIGURATION)?,
+        life: part(store, LIFE)?,
+    })
+}
+
+fn part<T: DeserializeOwned>(store: &Store, room: &'static str) -> Result<Option<T>, Unread> {
+    let Some(bytes) = store.get(room, 0).map_err(Unread::Trouble)? else { return Ok(None) };
+    let (schema, rest) = bytes.split_first_chunk().ok_or(Unread::Form(room))?;
+    match u16::from_le_bytes(*schema) {
+        SCHEMA => whole(rest).ok_or(Unread::Form(room)).map(Some),
+        other => Err(Unread::Schema(other)),
+    }
+}
+
+/// What these bytes are, all of them.
+fn whole<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    postcard::take_from_bytes(bytes).ok().filter(|(_, rest)| rest.is_empty()).map(|(it, _)| it)
+}
+
+fn written<T: Serialize>(it: &T) -> Option<Vec<u8>> {
+    postcard::to_extend(it, SCHEMA.to_le_bytes().to_vec()).ok()
+}
+
+/// Writes changes in one commit; how many bytes of payload they were.
+///
+/// # Errors
+/// The disk does not take them.
+pub(crate) fn write(store: &Store, changes: &Changes) -> Result<u64, Trouble> {
+    let parts = [
+        changes.list.as_ref().and_then(written),
+        changes.processes.as_ref().and_then(written),
+        changes.configuration.as_ref().and_then(written),
+        changes.life.as_ref().and_then(written),
+    ];
+    let all = ROOMS.iter().zip(&parts);
+    let puts: Vec<_> =
+        all.filter_map(|(room, part)| part.as_deref().map(|bytes| Change::Put(room, 0, bytes))).collect();
+    if !puts.is_empty() {
+        store.commit(&puts)?;
+    }
+    Ok(parts.iter().flatten().map(|part| part.len() as u64).sum())
+}
--- /dev/null
+++ b/crates/recovery/src/lib.rs
@@ -0,0 +1,26 @@
+//! What a sidecar knows again after a crash or a loss of power (docs/state.md): what is kept, what of it is believed
+//! and until which age, and the one thread that writes it. Nothing here stands in the way of a request. Changes with
+//! what callers may keep; each concept has a file of its own.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod belief;
+mod desk;
+mod directory;
+mod form;
+mod keeper;
+mod known;
+mod section;
+mod writer;
+
+pub use belief::{Believed, Bounds, SKEW, believe, plausible};
+pub use desk::Counts;
+pub use directory::{Directory, FileKind, InUse, Place, Unusable};
+pub use form::{SCHEMA, Unread};
+pub use keeper::{Aside, Found, Keeper};
+pub use known::{Changes, Entry, Known, Life, List, Process, Processes};
+pub use section::StateSection;
+pub use writer::{Begun, Writer};
+
+/// Microseconds of Unix time, or a duration.
+pub type Micros = i64;
--- /dev/null
+++ b/crates/recovery/tests/common/mod.rs
@@ -0,0 +1,112 @@
+//! Two disks in memory in the place of a directory, and things to keep. Changes with what the tests here share.
+#![allow(dead_code)]
+
+use linenproxy_recovery::*;
+use linenproxy_store::disk::Disk;
+use linenproxy_store::{Opened, Refusal, Store, Trouble};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+
+pub const SECOND: Micros = 1_000_000;
+pub const NOW: Micros = 1_790_000_000 * SECOND;
+pub const OWNER: &str = "linenproxy/n1";
+pub const BOUNDS: Bounds = Bounds { list: 600 * SECOND, processes: 60 * SECOND };
+
+#[derive(Default)]
+struct Files {
+    known: Disk,
+    numbers: Disk,
+    aside: Vec<Disk>,
+}
+
+/// The place; clones are the same.
+#[derive(Clone, Default)]
+pub struct Disks(Arc<Mutex<Files>>);
+
+impl Disks {
+    fn with<T>(&self, what: impl FnOnce(&mut Files) -> T) -> T {
+        what(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub fn disk(&self, file: FileKind) -> Disk {
+        self.with(|files| match file {
+            FileKind::Known => files.known.clone(),
+            FileKind::Numbers => files.numbers.clone(),
+        })
+    }
+
+    pub fn put(&self, file: FileKind, disk: Disk) {
+        self.with(|files| match file {
+            FileKind::Known => files.known = disk,
+            FileKind::Numbers => files.numbers = disk,
+        });
+    }
+
+    pub fn asides(&self) -> usize {
+        self.with(|files| files.aside.len())
+    }
+
+    /// Both take so many more writes and syncs.
+    pub fn fail_after(&self, writes: u64) {
+        self.disk(FileKind::Known).fail_after(writes);
+        self.disk(FileKind::Numbers).fail_after(writes);
+    }
+
+    /// Power off and on.
+    pub fn crash(&self, random: &mut fastrand::Rng) {
+        for file in [FileKind::Known, FileKind::Numbers] {
+            let left = self.disk(file).crash(|| random.bool());
+            self.put(file, left);
+        }
+    }
+}
+
+impl Place for Disks {
+    fn open(&self, file: FileKind, owner: &str) -> Result<Opened, Trouble> {
+        match Store::on(self.disk(file), owner) {
+            Ok(store) => Ok(Opened { store, aside: None }),
+            Err(Refusal::Trouble(trouble)) => Err(trouble),
+            Err(Refusal::Broken(why)) => {
+                let aside = self.set_aside(file)?;
+                let store = Store::on(self.disk(file), owner).map_err(|e| Trouble(e.to_string()))?;
+                Ok(Opened { store, aside: Some(linenproxy_store::Aside { file: aside, why }) })
+            }
+        }
+    }
+
+    fn set_aside(&self, file: FileKind) -> Result<PathBuf, Trouble> {
+        let was = self.disk(file);
+        self.put(file, Disk::new());
+        self.with(|files| files.aside.push(was));
+        Ok(PathBuf::from(format!("{}.aside-{}", file.name(), self.asides())))
+    }
+}
+
+pub fn entry(number: usize) -> Entry {
+    Entry {
+        name: format!("s-{number}"),
+        address: format!("10.0.0.{}:80", number % 250).parse().ok(),
+        zone: Some("a".to_owned()),
+        kind: None,
+        group: 1,
+        leaving: false,
+        weight: 1.0,
+        since_ms: 5,
+    }
+}
+
+pub fn process(number: usize, seen: Micros, open: bool) -> Process {
+    Process { name: format!("s-{number}"), started: Some(5000), seen, open, slow: 1.5, cap: 2.0 }
+}
+
+/// What a sidecar of so many endpoints knows at a time, one in five of them sick.
+pub fn changes(endpoints: usize, now: Micros) -> Changes {
+    let entries = (0..endpoints).map(entry).collect();
+    let all = (0..endpoints).map(|n| process(n, now - SECOND, n % 5 == 0)).collect();
+    Changes {
+        list: Some(List { index: now.unsigned_abs(), seen: now, entries }),
+        processes: Some(Processes { seen: now, listed: endpoints as u32, all }),
+        configuration: Some(format!("# {now}")),
+        life: None,
+    }
+}
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -4,7 +4,7 @@
 //! units of a sector, in any order: lost, whole or torn.
 
 use std::io::{Error, ErrorKind};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 
 /// What a disk writes whole or not at all, in bytes.
 pub const SECTOR: usize = 512;
@@ -16,11 +16,24 @@
     /// Writes to go until the disk takes no more; none counts while it is `None`.
     budget: Option<u64>,
     writes: u64,
+    broken: Option<Breakdown>,
+    held: bool,
+}
+
+/// What a disk does no more: each such call is answered with an input/output error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breakdown {
+    /// Reading.
+    Reads,
+    /// Writing, and changing the file's length.
+    Writes,
+    /// Syncing.
+    Syncs,
 }
 
 /// A handle to the disk; clones are the same disk.
 #[derive(Clone, Debug, Default)]
-pub struct Disk(Arc<Mutex<Inner>>);
+pub struct Disk(Arc<(Mutex<Inner>, Condvar)>);
 
 impl Disk {
     /// An empty disk.
@@ -30,7 +43,35 @@
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// One that holds these bytes.
+    #[must_use]
+    pub fn holding(bytes: Vec<u8>) -> Self {
+        let inner = Inner { cache: bytes.clone(), durable: bytes, ..Inner::default() };
+        Self(Arc::new((Mutex::new(inner), Condvar::new())))
+    }
+
+    /// What would be there after a sync.
+    #[must_use]
+    pub fn bytes(&self) -> Vec<u8> {
+        self.inner().cache.clone()
+    }
+
+    /// From now on it no longer does this; `None` mends it.
+    pub fn break_down(&self, what: Option<Breakdown>) {
+        self.inner().broken = what;
+    }
+
+    /// While it is held, a sync does not come back.
+    pub fn hold(&self, held: bool) {
+        self.inner().held = held;
+        self.0.1.notify_all();
+    }
+
+    fn works(inner: &Inner, call: Breakdown) -> Result<(), Error> {
+        if inner.broken == Some(call) { Err(Error::other("input/output error")) } else { Ok(()) }
     }
 
     /// Power off and on: `keep` is asked for every sector that was not synced, whether it got to the disk. The file's
@@ -49,8 +90,7 @@
             }
         }
         inner.budget = Some(0);
-        let after = Inner { cache: left.clone(), durable: left, budget: None, writes: 0 };
-        Self(Arc::new(Mutex::new(after)))
+        Self::holding(left)
     }
 
     /// Takes `writes` more writes and syncs, then none: a full or broken disk.
@@ -104,6 +144,7 @@
 
     fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), Error> {
         let inner = self.inner();
+        Self::works(&inner, Breakdown::Reads)?;
         let range = place(offset, out.len())?;
         let found = inner.cache.get(range).ok_or_else(|| Error::from(ErrorKind::UnexpectedEof))?;
         out.copy_from_slice(found);
@@ -112,6 +153,7 @@
 
     fn set_len(&self, len: u64) -> Result<(), Error> {
         let mut inner = self.inner();
+        Self::works(&inner, Breakdown::Writes)?;
         Self::write_allowed(&mut inner)?;
         let length = place(len, 0)?.start;
         inner.cache.resize(length, 0);
@@ -120,6 +162,10 @@
 
     fn sync_data(&self) -> Result<(), Error> {
         let mut inner = self.inner();
+        while inner.held {
+            inner = self.0.1.wait(inner).unwrap_or_else(PoisonError::into_inner);
+        }
+        Self::works(&inner, Breakdown::Syncs)?;
         Self::write_allowed(&mut inner)?;
         inner.durable = inner.cache.clone();
         Ok(())
@@ -127,6 +173,7 @@
 
     fn write(&self, offset: u64, data: &[u8]) -> Result<(), Error> {
         let mut inner = self.inner();
+        Self::works(&inner, Breakdown::Writes)?;
         Self::write_allowed(&mut inner)?;
         let range = place(offset, data.len())?;
         let target = inner.cache.get_mut(range).ok_or_else(|| Error::from(ErrorKind::UnexpectedEof))?;
--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -40,20 +40,31 @@
         Err(Refusal::Trouble(trouble)) => return Err(said(trouble)),
         Err(Refusal::Broken(why)) => why,
     };
+    let aside = set_aside(file).map_err(|trouble| Trouble(format!("{trouble}, after: {why}")))?;
+    match Store::at(file, owner) {
+        Ok(store) => Ok(Opened { store, aside: Some(Aside { file: aside, why }) }),
+        Err(refusal) => Err(said(Trouble::of(refusal))),
+    }
+}
+
+/// Sets aside the store in `file`, which nobody may have open: it lies as `FILE.aside-N` then, with the first N that is
+/// free, and where that is comes back.
+///
+/// # Errors
+/// It cannot be renamed, or too much was set aside already.
+pub fn set_aside(file: &Path) -> Result<PathBuf, Trouble> {
+    let said = |what: &dyn std::fmt::Display| Trouble(format!("{}: {what}", file.display()));
     let name = |n: u32| {
         let mut name = file.as_os_str().to_owned();
         name.push(format!(".aside-{n}"));
         PathBuf::from(name)
     };
     let aside = (1..=MOST_ASIDE).map(name).find(|aside| fs::symlink_metadata(aside).is_err());
-    let aside = aside.ok_or_else(|| {
-        said(Trouble(format!("{why}, and {MOST_ASIDE} files set aside lie beside it: look at them")))
-    })?;
-    fs::rename(file, &aside).map_err(|e| said(Trouble(format!("{why}, and it cannot be set aside: {e}"))))?;
+    let full = format!("{MOST_ASIDE} files set aside lie beside it: look at them");
+    let aside = aside.ok_or_else(|| said(&full))?;
+    fs::rename(file, &aside).map_err(|e| said(&format!("it cannot be set aside: {e}")))?;
     // The new name is on the disk before a new file takes the old one.
-    File::open(directory).and_then(|d| d.sync_all()).map_err(|e| said(Trouble::of(e)))?;
-    match Store::at(file, owner) {
-        Ok(store) => Ok(Opened { store, aside: Some(Aside { file: aside, why }) }),
-        Err(refusal) => Err(said(Trouble::of(refusal))),
-    }
+    let directory = file.parent().filter(|d| !d.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    File::open(directory).and_then(|d| d.sync_all()).map_err(|e| said(&e))?;
+    Ok(aside)
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -19,6 +19,8 @@
 pub enum Event {
     /// Words of other instances that have changed.
     Words(Vec<Word>),
+    /// What an earlier life of this instance knew of endpoints, once after the first list and before any request.
+    Recalled(Vec<Recalled>),
     /// News of the endpoint list.
     Endpoints(ListUpdate),
     /// A client's request; it is owed exactly one final answer.
--- a/src/api/words.rs
+++ b/src/api/words.rs
@@ -1,4 +1,5 @@
-//! What is shared with other instances, and what they say. Changes with what instances know together.
+//! What is shared with other instances and with a next life, and what they say. Changes with what instances know
+//! together.
 
 use super::ids::*;
 
@@ -34,3 +35,22 @@
     /// Turns by which an endpoint may be ahead of or behind its weight for keys' sake; 0 is no affinity.
     pub ahead: f64,
 }
+
+/// What an instance knew of one endpoint process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Recalled {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// When its process started, as it was listed.
+    pub started: Option<Micros>,
+    /// When it was last heard of.
+    pub seen: Micros,
+    /// Its circuit was open.
+    pub open: bool,
+    /// Times that it has opened since it was last well.
+    pub openings: u32,
+    /// Time that it takes for a unit of work, in such units.
+    pub slow: f64,
+    /// Requests that it might have in flight.
+    pub cap: f64,
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,6 +53,7 @@
         self.pace_groups(now);
         match event {
             Event::Words(words) => self.heed(now, words, out),
+            Event::Recalled(known) => self.recall(now, known),
             Event::Endpoints(update) => self.listed(now, update),
             Event::Request(new) => self.admit(now, new, out),
             Event::StreamStarted { request, attempt } => self.streaming(request, attempt, out),
--- a/src/choice/hearsay.rs
+++ b/src/choice/hearsay.rs
@@ -1,8 +1,10 @@
-//! What other instances say of endpoints, and what is told to them. Changes with what their word does here.
+//! What other instances say of endpoints, what an earlier life knew, and what is told to others. Changes with
+//! what their word does here.
 //!
 //! Their word stands above the own circuit and leaves it as it is: once it is taken back or past its bound,
 //! the instance decides as one that has never heard it.
 
+use super::bulwark::CAP_BOUNDS;
 use crate::state::*;
 
 /// Turns that an endpoint may be owed, as a multiple of those by which it may be ahead.
@@ -32,6 +34,26 @@
         }
     }
 
+    /// Takes in what was known before a restart, as evidence of its age, of processes that are still the same
+    /// and were sent nothing since. An open circuit is to be tried, the pace fades as any does.
+    pub(crate) fn recall(&mut self, now: Micros, known: Vec<Recalled>) {
+        let (mut well, first_cap) = (0.0, self.first_cap());
+        for k in known.into_iter().filter(|k| k.seen <= now && k.slow > 0.0 && (k.slow + k.cap).is_finite()) {
+            let same = |e: &&mut Endpoint| e.held && e.started == k.started && e.last_sent < k.seen;
+            let Some(e) = self.endpoints.get_mut(k.endpoint).filter(same) else { continue };
+            let cap = first_cap + left_of(now, k.seen, self.memory) * (k.cap - first_cap);
+            e.cap = cap.clamp(CAP_BOUNDS.0, CAP_BOUNDS.1);
+            (e.slow, e.heard, e.last_sent) = (k.slow, k.seen, k.seen);
+            if k.open {
+                (e.circuit, e.openings) = (Circuit::Open(now), k.openings);
+            } else if self.fleet.answers == 0.0 {
+                well += 1.0;
+                self.fleet.slow += (k.slow - self.fleet.slow) / well;
+                self.fleet.bare = self.fleet.slow;
+            }
+        }
+    }
+
     /// Others get no answer there: what has waited for longer than usual, and may run again, waits no more.
     fn call_back(&self, now: Micros, i: EndpointId, out: &mut Vec<Action>) {
         let e = &self.endpoints[i];
--- a/src/choice/list.rs
+++ b/src/choice/list.rs
@@ -52,26 +52,6 @@
         self.drop_gone();
     }
 
-    /// What there is to tell to whoever measures; reading it changes nothing.
-    pub fn census(&self) -> Census {
-        let listed = self.endpoints.iter().filter(|e| e.listed);
-        let count = |holds: fn(&Endpoint) -> bool| listed.clone().filter(|e| holds(e)).count();
-        Census {
-            listed: count(|_| true),
-            ready: count(|e| e.ready),
-            circuits_open: count(|e| e.circuit != Circuit::Closed),
-            resting: count(|e| e.word.is_some()),
-            queued: self.queue.len(),
-            given_up: self.log.given_up_in_all,
-        }
-    }
-
-    /// Whether anything is remembered of this endpoint. The number of one that is gone and not known any more
-    /// may be given to another.
-    pub fn knows(&self, endpoint: EndpointId) -> bool {
-        self.endpoints.get(endpoint).is_some_and(|e| e.held)
-    }
-
     /// Drops endpoints that are gone, once no open request has been there: who is replaced over and over must
     /// cost neither memory nor time at each pick.
     pub(crate) fn drop_gone(&mut self) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod api;
 mod choice;
+mod memory;
 #[cfg(feature = "settings")]
 pub mod settings;
 mod state;
