Part the sidecar's engine, inbound and upstream by concept

Change: open.rs (what is under way, and the one place that answers), listed.rs (what a listed entry means here), facts.rs (what a client's headers say), headers.rs (what goes on of a message), serving.rs (one request and its answer), pool.rs (connections that are kept). Datagrams are passed on by peers.rs. No behaviour changes; all tests as before.

--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -6,62 +6,40 @@
 use crate::descriptors::Limits;
 use crate::discovery::{self, Ask};
 use crate::handle::Handle;
-use crate::hosts::{HostList, HostStatus};
+use crate::hosts::HostList;
+use crate::listed::Listed;
 #[cfg(feature = "product")]
 use crate::messages::Survey;
-use crate::messages::{Answer, Ended, Input, Inputs, Outgoing};
+use crate::messages::{Answer, Input, Inputs};
+use crate::open::Open;
 use crate::peers::Peers;
+use crate::pool::Pool;
 use crate::product::{Fleet, Observer};
 use crate::report::say;
 use crate::spaced::{Spaced, left_out};
 use crate::upstream::Upstream;
-use linenproxy::settings::Names;
-use linenproxy::{
-    Action, AttemptEnd, AttemptNo, Balancer, ClassId, Discovery, Event, ListUpdate, Listing, Load, Micros,
-    Outcome, RequestId, Status,
-};
+use linenproxy::{Action, Balancer, Discovery, Event, ListUpdate, Listing, Micros, RequestId};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
-/// Datagrams that may wait to be looked at; further ones are dropped, as the network may drop any.
-const MOST_DATAGRAMS: usize = 64;
 /// Log lines about bad input from outside: one in this time.
 const COMPLAINT_SPACING: Duration = Duration::from_secs(5);
 
-/// A request without its final answer.
-struct Held {
-    reply: oneshot::Sender<Answer>,
-    outgoing: Rc<Outgoing>,
-    attempts: AttemptNo,
-    class: ClassId,
-    arrived: Micros,
-}
-
-/// An attempt that is out; the module is owed one event on its end.
-struct Out {
-    endpoint: usize,
-    sent: Micros,
-    task: AbortHandle,
-}
-
 /// The module and all that it has under way.
 pub struct Engine {
     balancer: Balancer,
     clock: Clock,
     inputs: mpsc::UnboundedReceiver<Input>,
     sender: Inputs,
-    held: HashMap<RequestId, Held>,
-    out: HashMap<(RequestId, AttemptNo), Out>,
-    endpoints: Names,
-    zones: Names,
-    kinds: Names,
+    open: Open,
+    listed: Listed,
+    pool: Rc<Pool>,
     upstream: Rc<Upstream>,
     asks: mpsc::UnboundedSender<Ask>,
     peers: Option<Peers>,
@@ -88,7 +66,7 @@
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
         let most = Limits::of(config.sockets).upstream;
-        let upstream = Rc::new(Upstream::new(most, limits.dial_timeout, decoded.idle_close));
+        let pool = Rc::new(Pool::new(most, limits.dial_timeout, decoded.idle_close));
         let pushed = decoded.settings.discovery == Discovery::Pushed;
         let mut balancer = Balancer::new(decoded.settings, config.seed).map_err(|e| e.to_string())?;
         if let Some(fleet) = &fleet {
@@ -100,12 +78,10 @@
             clock,
             inputs,
             sender: sender.clone(),
-            held: HashMap::new(),
-            out: HashMap::new(),
-            endpoints: Names::default(),
-            zones: decoded.zones,
-            kinds: Names::default(),
-            upstream: Rc::clone(&upstream),
+            open: Open::new(clock, observer.clone()),
+            listed: Listed::new(decoded.zones, Rc::clone(&pool), fleet.clone()),
+            upstream: Rc::new(Upstream::new(Rc::clone(&pool))),
+            pool: Rc::clone(&pool),
             asks,
             peers: peers.clone(),
             timers: BinaryHeap::new(),
@@ -114,7 +90,7 @@
             observer,
             fleet,
         };
-        spawn_local(upstream.retire_idle());
+        spawn_local(pool.retire_idle());
         let known = config.known.as_ref().map(|list| list.index);
         // Where changes are pushed the module never asks for them: a watch is how they come unasked here.
         if pushed {
@@ -122,7 +98,7 @@
         }
         spawn_local(discovery::run(discovery_at, known, config.seed, asked, sender.clone()));
         if let Some(peers) = peers {
-            spawn_local(hear(peers, sender.clone()));
+            spawn_local(peers.pass_on(sender.clone()));
         }
         let known = config.known.unwrap_or(HostList { index: 0, snapshot: true, endpoints: Vec::new() });
         let listings = engine.apply(known, true);
@@ -166,20 +142,19 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Request(request, outgoing, reply) => {
-                self.observer.taken(request.class, &outgoing);
-                let (class, arrived) = (request.class, self.clock.now());
-                self.held.insert(request.id, Held { reply, outgoing, attempts: 0, class, arrived });
+                self.open.take(&request, outgoing, reply);
                 self.deliver(Event::Request(request));
             }
             Input::Withdrawn(id) => {
-                // It may cross with the answer.
-                if let Some(held) = self.held.remove(&id) {
-                    held.outgoing.settled.set(true);
-                    self.observer.answered(held.class, &held.outgoing, None, self.clock.now() - held.arrived);
+                if self.open.withdraw(id) {
                     self.deliver(Event::Abandoned(id));
                 }
             }
-            Input::Ended(ended) => self.ended(ended),
+            Input::Ended(ended) => {
+                if let Some(event) = self.open.ended(ended) {
+                    self.deliver(event);
+                }
+            }
             Input::Probed(endpoint, outcome, took, load) => {
                 self.deliver(Event::ProbeEnded { endpoint, outcome, took, load });
             }
@@ -196,7 +171,7 @@
             }
             #[cfg(feature = "product")]
             Input::Survey(reply) => {
-                let (open, attempts) = (self.held.len(), self.out.len());
+                let (open, attempts) = self.open.count();
                 // Whoever asked may have left.
                 let _ = reply.send(Survey { census: self.balancer.census(), open, attempts });
             }
@@ -212,87 +187,8 @@
         }
     }
 
-    /// Brings the sockets' view of the endpoints up to date, before the module can send anything more.
     fn apply(&mut self, list: HostList, full: bool) -> Vec<Listing> {
-        for id in self.endpoints.release(|id| !self.balancer.knows(id)) {
-            self.upstream.release(id);
-        }
-        let mut listings = Vec::with_capacity(list.endpoints.len());
-        for host in list.endpoints {
-            let id = self.endpoints.id(&host.name);
-            let status = match (host.status, host.address) {
-                (HostStatus::Active, Some(_)) => Status::Ready,
-                // One that can't be reached takes nothing.
-                (HostStatus::Active, None) | (HostStatus::Leaving, _) => Status::Draining,
-                (HostStatus::Left, _) => Status::Gone,
-            };
-            self.upstream.endpoint(id).set(host.address, status == Status::Ready);
-            listings.push(Listing {
-                endpoint: id,
-                zone: host.zone.map(|zone| self.zones.id(&zone)),
-                cell: host.group,
-                kind: host.kind.map(|kind| self.kinds.id(&kind)),
-                status,
-                size: host.weight,
-                started: Some(host.since_ms.saturating_mul(1000)).filter(|at| *at != 0),
-                alias: self.fleet.as_ref().map_or(0, |fleet| fleet.alias(&host.name)),
-            });
-        }
-        if full {
-            let listed: HashSet<usize> = listings.iter().map(|l| l.endpoint).collect();
-            self.upstream.keep_only(&listed);
-        }
-        if let Some(fleet) = &self.fleet {
-            fleet.listed(full, &listings, |id| self.endpoints.name(id));
-        }
-        listings
-    }
-
-    /// An attempt ended by itself. One that was called back has ended already, whatever it still brings.
-    fn ended(&mut self, ended: Ended) {
-        let Ended { request, attempt, outcome, served, load } = ended;
-        let Some(out) = self.out.remove(&(request, attempt)) else { return };
-        let outgoing = self.held.get(&request).map(|held| &*held.outgoing);
-        self.observer.ended(outgoing, outcome, self.clock.now() - out.sent);
-        if let Some(served) = served {
-            self.answer(request, Answer::Served(served));
-        }
-        self.deliver_end((request, attempt), &out, outcome, load);
-    }
-
-    fn deliver_end(&mut self, key: (RequestId, AttemptNo), out: &Out, outcome: Outcome, load: Load) {
-        let end = self.end(key, out, outcome, load);
-        self.deliver(end);
-    }
-
-    fn end(&self, key: (RequestId, AttemptNo), out: &Out, outcome: Outcome, load: Load) -> Event {
-        let (request, attempt) = key;
-        let took = self.clock.now() - out.sent;
-        let settled = !self.held.contains_key(&request);
-        Event::AttemptEnded(AttemptEnd {
-            request,
-            attempt,
-            endpoint: out.endpoint,
-            outcome,
-            took,
-            settled,
-            load,
-        })
-    }
-
-    /// The only place where a request gets its final answer; a second one finds nothing to answer.
-    fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(held) = self.held.remove(&id) {
-            held.outgoing.settled.set(true);
-            self.observer.answered(
-                held.class,
-                &held.outgoing,
-                Some(&answer),
-                self.clock.now() - held.arrived,
-            );
-            // A client that has just left needs none.
-            let _ = held.reply.send(answer);
-        }
+        self.listed.apply(list, full, |id| self.balancer.knows(id))
     }
 
     /// Tells the module of an event and of those that its actions bring about.
@@ -310,16 +206,10 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { request, endpoint, timeout } => self.send(request, endpoint, timeout),
-            Action::Refuse { request, hold_off } => self.answer(request, Answer::Refused(hold_off)),
-            Action::Fail(request) => self.answer(request, Answer::Failed),
+            Action::Refuse { request, hold_off } => self.open.answer(request, Answer::Refused(hold_off)),
+            Action::Fail(request) => self.open.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
-                if let Some(out) = self.out.remove(&(request, attempt)) {
-                    out.task.abort();
-                    let outgoing = self.held.get(&request).map(|held| &*held.outgoing);
-                    self.observer.ended(outgoing, Outcome::Cancelled, self.clock.now() - out.sent);
-                    let end = self.end((request, attempt), &out, Outcome::Cancelled, Load::default());
-                    self.events.push_back(end);
-                }
+                self.events.extend(self.open.cancel((request, attempt)));
             }
             Action::Probe(endpoint) => {
                 let (upstream, inputs) = (Rc::clone(&self.upstream), self.sender.clone());
@@ -334,7 +224,7 @@
             Action::FetchList => {
                 let _ = self.asks.send(Ask::Fetch);
             }
-            Action::CloseIdle(endpoint) => self.upstream.endpoint(endpoint).close_idle(),
+            Action::CloseIdle(endpoint) => self.pool.endpoint(endpoint).close_idle(),
             Action::Tell { to, bytes } => {
                 if let Some(peers) = &self.peers {
                     peers.tell(to, &bytes);
@@ -351,28 +241,15 @@
 
     fn send(&mut self, request: RequestId, endpoint: usize, timeout: Micros) {
         // The module holds no request that is not held here: both learn of every end in the same turn.
-        let Some(held) = self.held.get_mut(&request) else { return };
-        let attempt = held.attempts;
-        held.attempts += 1;
-        self.observer.sent(&held.outgoing, attempt, self.endpoints.name(endpoint));
+        let Some((attempt, outgoing)) = self.open.next(request, self.listed.name(endpoint)) else { return };
         let attempting = Rc::clone(&self.upstream).attempt(
             (request, attempt),
-            self.upstream.endpoint(endpoint),
-            Rc::clone(&held.outgoing),
+            self.pool.endpoint(endpoint),
+            outgoing,
             timeout,
             self.sender.clone(),
         );
         let task = spawn_local(attempting).abort_handle();
-        self.out.insert((request, attempt), Out { endpoint, sent: self.clock.now(), task });
-    }
-}
-
-async fn hear(peers: Peers, inputs: Inputs) {
-    let room = Arc::new(Semaphore::new(MOST_DATAGRAMS));
-    loop {
-        let (from, bytes) = peers.hear().await;
-        if let Ok(permit) = Arc::clone(&room).try_acquire_owned() {
-            inputs.send(Input::Peer(from, bytes, permit));
-        }
+        self.open.sent((request, attempt), endpoint, task);
     }
 }
--- /dev/null
+++ b/src/bin/tinflow/listed.rs
@@ -0,0 +1,68 @@
+//! The endpoints as lists name them: their numbers, and the sockets' view of them. Changes with what a listed entry means
+//! here.
+
+use crate::hosts::{HostList, HostStatus};
+use crate::pool::Pool;
+use crate::product::Fleet;
+use linenproxy::settings::Names;
+use linenproxy::{Listing, Status};
+use std::collections::HashSet;
+use std::rc::Rc;
+
+/// Names by number, and what follows lists besides the module.
+pub struct Listed {
+    endpoints: Names,
+    zones: Names,
+    kinds: Names,
+    pool: Rc<Pool>,
+    fleet: Option<Fleet>,
+}
+
+impl Listed {
+    /// No endpoint yet; the settings name some zones.
+    pub fn new(zones: Names, pool: Rc<Pool>, fleet: Option<Fleet>) -> Self {
+        Self { endpoints: Names::default(), zones, kinds: Names::default(), pool, fleet }
+    }
+
+    /// The name of an endpoint.
+    pub fn name(&self, id: usize) -> &str {
+        self.endpoints.name(id)
+    }
+
+    /// Brings the sockets' view of the endpoints up to date, before the module, which `knows` some, can send anything
+    /// more; returns what it is to hear.
+    pub fn apply(&mut self, list: HostList, full: bool, knows: impl Fn(usize) -> bool) -> Vec<Listing> {
+        for id in self.endpoints.release(|id| !knows(id)) {
+            self.pool.release(id);
+        }
+        let mut listings = Vec::with_capacity(list.endpoints.len());
+        for host in list.endpoints {
+            let id = self.endpoints.id(&host.name);
+            let status = match (host.status, host.address) {
+                (HostStatus::Active, Some(_)) => Status::Ready,
+                // One that can't be reached takes nothing.
+                (HostStatus::Active, None) | (HostStatus::Leaving, _) => Status::Draining,
+                (HostStatus::Left, _) => Status::Gone,
+            };
+            self.pool.endpoint(id).set(host.address, status == Status::Ready);
+            listings.push(Listing {
+                endpoint: id,
+                zone: host.zone.map(|zone| self.zones.id(&zone)),
+                cell: host.group,
+                kind: host.kind.map(|kind| self.kinds.id(&kind)),
+                status,
+                size: host.weight,
+                started: Some(host.since_ms.saturating_mul(1000)).filter(|at| *at != 0),
+                alias: self.fleet.as_ref().map_or(0, |fleet| fleet.alias(&host.name)),
+            });
+        }
+        if full {
+            let listed: HashSet<usize> = listings.iter().map(|l| l.endpoint).collect();
+            self.pool.keep_only(&listed);
+        }
+        if let Some(fleet) = &self.fleet {
+            fleet.listed(full, &listings, |id| self.endpoints.name(id));
+        }
+        listings
+    }
+}
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -7,18 +7,24 @@
 mod descriptors;
 mod discovery;
 mod engine;
+mod facts;
 #[cfg(feature = "product")]
 mod fleet;
 mod handle;
+mod headers;
 mod hosts;
 mod inbound;
+mod listed;
 mod messages;
 #[cfg(feature = "product")]
 mod observer;
+mod open;
 mod peers;
+mod pool;
 #[cfg_attr(not(feature = "product"), path = "plain.rs")]
 mod product;
 mod report;
+mod serving;
 mod spaced;
 mod stop;
 mod upstream;
@@ -93,7 +99,7 @@
     };
     let longest = config.longest_deadline().min(LONGEST_GRACE);
     let limits = Limits::of(config.sockets);
-    let lanes = Rc::new(inbound::Lanes::of(&config));
+    let lanes = Rc::new(facts::Lanes::of(&config));
     let (discovery, discovery_at) = watch::channel(config.discovery);
     let fixed = config.fixed.clone();
     let observer = product.observer(&config.decoded.classes);
--- /dev/null
+++ b/src/bin/tinflow/open.rs
@@ -0,0 +1,124 @@
+//! What is under way: requests without their final answer, and attempts that are out. Changes with what is kept of them.
+
+use crate::clock::Clock;
+use crate::messages::{Answer, Ended, Outgoing};
+use crate::product::Observer;
+use linenproxy::{AttemptEnd, AttemptNo, ClassId, Event, Load, Micros, NewRequest, Outcome, RequestId};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+/// A request without its final answer.
+struct Held {
+    reply: oneshot::Sender<Answer>,
+    outgoing: Rc<Outgoing>,
+    attempts: AttemptNo,
+    class: ClassId,
+    arrived: Micros,
+}
+
+/// An attempt that is out; the module is owed one event on its end.
+struct Out {
+    endpoint: usize,
+    sent: Micros,
+    task: AbortHandle,
+}
+
+/// All that is under way.
+pub struct Open {
+    held: HashMap<RequestId, Held>,
+    out: HashMap<(RequestId, AttemptNo), Out>,
+    clock: Clock,
+    observer: Observer,
+}
+
+impl Open {
+    /// Nothing yet.
+    pub fn new(clock: Clock, observer: Observer) -> Self {
+        Self { held: HashMap::new(), out: HashMap::new(), clock, observer }
+    }
+
+    /// Requests without their answer, and attempts that are out.
+    #[cfg(feature = "product")]
+    pub fn count(&self) -> (usize, usize) {
+        (self.held.len(), self.out.len())
+    }
+
+    /// A request was taken.
+    pub fn take(&mut self, request: &NewRequest, outgoing: Rc<Outgoing>, reply: oneshot::Sender<Answer>) {
+        self.observer.taken(request.class, &outgoing);
+        let (class, arrived) = (request.class, self.clock.now());
+        self.held.insert(request.id, Held { reply, outgoing, attempts: 0, class, arrived });
+    }
+
+    /// The client of a request has left; whether it was still without its answer, as the two may cross.
+    pub fn withdraw(&mut self, id: RequestId) -> bool {
+        let Some(held) = self.held.remove(&id) else { return false };
+        held.outgoing.settled.set(true);
+        self.observer.answered(held.class, &held.outgoing, None, self.clock.now() - held.arrived);
+        true
+    }
+
+    /// The only place where a request gets its final answer; a second one finds nothing to answer.
+    pub fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(held) = self.held.remove(&id) {
+            held.outgoing.settled.set(true);
+            let took = self.clock.now() - held.arrived;
+            self.observer.answered(held.class, &held.outgoing, Some(&answer), took);
+            // A client that has just left needs none.
+            let _ = held.reply.send(answer);
+        }
+    }
+
+    /// The next attempt of a request, to an endpoint of that name; `None` where it has its answer.
+    pub fn next(&mut self, request: RequestId, name: &str) -> Option<(AttemptNo, Rc<Outgoing>)> {
+        let held = self.held.get_mut(&request)?;
+        let attempt = held.attempts;
+        held.attempts += 1;
+        self.observer.sent(&held.outgoing, attempt, name);
+        Some((attempt, Rc::clone(&held.outgoing)))
+    }
+
+    /// That attempt is out.
+    pub fn sent(&mut self, key: (RequestId, AttemptNo), endpoint: usize, task: AbortHandle) {
+        self.out.insert(key, Out { endpoint, sent: self.clock.now(), task });
+    }
+
+    /// An attempt ended by itself; what the module is to hear of it. One that was called back has ended already,
+    /// whatever it still brings.
+    pub fn ended(&mut self, ended: Ended) -> Option<Event> {
+        let key = (ended.request, ended.attempt);
+        let out = self.out.remove(&key)?;
+        self.note(key, &out, ended.outcome);
+        if let Some(served) = ended.served {
+            self.answer(ended.request, Answer::Served(served));
+        }
+        Some(self.end(key, &out, ended.outcome, ended.load))
+    }
+
+    /// An attempt is called back; what the module is to hear of it.
+    pub fn cancel(&mut self, key: (RequestId, AttemptNo)) -> Option<Event> {
+        let out = self.out.remove(&key)?;
+        out.task.abort();
+        self.note(key, &out, Outcome::Cancelled);
+        Some(self.end(key, &out, Outcome::Cancelled, Load::default()))
+    }
+
+    fn note(&self, key: (RequestId, AttemptNo), out: &Out, outcome: Outcome) {
+        let outgoing = self.held.get(&key.0).map(|held| &*held.outgoing);
+        self.observer.ended(outgoing, outcome, self.clock.now() - out.sent);
+    }
+
+    fn end(
+        &self,
+        (request, attempt): (RequestId, AttemptNo),
+        out: &Out,
+        outcome: Outcome,
+        load: Load,
+    ) -> Event {
+        let took = self.clock.now() - out.sent;
+        let (endpoint, settled) = (out.endpoint, !self.held.contains_key(&request));
+        Event::AttemptEnded(AttemptEnd { request, attempt, endpoint, outcome, took, settled, load })
+    }
+}
--- a/src/bin/tinflow/peers.rs
+++ b/src/bin/tinflow/peers.rs
@@ -1,15 +1,20 @@
 //! Datagrams between sidecars, as the platform hands out their addresses. Changes with how they are carried.
 
+use crate::messages::{Input, Inputs};
 use std::io;
 use std::net::{SocketAddr, UdpSocket as StdSocket};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::Semaphore;
 
 /// Pause after a failed receive.
 const PAUSE: Duration = Duration::from_millis(10);
+/// Datagrams that may wait to be looked at; further ones are dropped, as the network may drop any.
+const MOST_WAITING: usize = 64;
 /// Longest datagram.
-pub const LONGEST: usize = 256;
+const LONGEST: usize = 256;
 
 /// The socket to the other sidecars of the tier.
 #[derive(Clone)]
@@ -39,7 +44,7 @@
     }
 
     /// The next datagram from a known peer, with the peer's number. Others are dropped.
-    pub async fn hear(&self) -> (u32, Vec<u8>) {
+    async fn hear(&self) -> (u32, Vec<u8>) {
         let mut bytes = [0; LONGEST + 1];
         loop {
             let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else {
@@ -53,4 +58,14 @@
             }
         }
     }
+    /// Passes on what is heard. Runs for good.
+    pub async fn pass_on(self, inputs: Inputs) {
+        let room = Arc::new(Semaphore::new(MOST_WAITING));
+        loop {
+            let (from, bytes) = self.hear().await;
+            if let Ok(permit) = Arc::clone(&room).try_acquire_owned() {
+                inputs.send(Input::Peer(from, bytes, permit));
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/bin/tinflow/serving.rs
@@ -0,0 +1,121 @@
+//! One request of a client and its answer. Changes with how the engine's answer becomes one of HTTP.
+
+use crate::facts::{Facts, Lanes};
+use crate::handle::Handle;
+use crate::headers::{end_to_end, origin_form};
+use crate::messages::{Answer, LONGEST_BODY, Outgoing, Served};
+use crate::stop::Stop;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use linenproxy::NewRequest;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// A body that has not wholly come this long after its head never will: the application is on this machine.
+const BODY_TIME: Duration = Duration::from_millis(500);
+
+/// An answer as it is written.
+pub type Reply = Response<Full<Bytes>>;
+
+/// Answers one request.
+pub async fn serve(
+    lanes: Rc<Lanes>,
+    handle: Handle,
+    request: Request<Incoming>,
+    stop: watch::Receiver<Stop>,
+) -> Result<Reply, hyper::Error> {
+    match request.uri().path() {
+        "/up" if *stop.borrow() == Stop::No => Ok(plain(StatusCode::OK)),
+        "/up" => Ok(plain(StatusCode::SERVICE_UNAVAILABLE)),
+        path if path == "/api" || path.starts_with("/api/") => api(&lanes, &handle, request, stop).await,
+        _ => Ok(plain(StatusCode::NOT_FOUND)),
+    }
+}
+
+fn plain(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
+
+fn closing(status: StatusCode) -> Reply {
+    let mut reply = plain(status);
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    reply
+}
+
+async fn api(
+    lanes: &Lanes,
+    handle: &Handle,
+    request: Request<Incoming>,
+    mut stop: watch::Receiver<Stop>,
+) -> Result<Reply, hyper::Error> {
+    let arrived = handle.now();
+    let (head, body) = request.into_parts();
+    let Some(facts) = Facts::read(lanes, &head.method, &head.headers) else {
+        return Ok(closing(StatusCode::BAD_REQUEST));
+    };
+    let due = arrived.saturating_add(facts.time_left);
+    let whole_by = handle.instant(due).min(Instant::now() + BODY_TIME);
+    if body.size_hint().lower() > LONGEST_BODY as u64 {
+        return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    let body = match timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE)),
+        Ok(Err(e)) => match e.downcast::<hyper::Error>() {
+            Ok(e) => return Err(*e),
+            Err(_) => return Ok(closing(StatusCode::BAD_REQUEST)),
+        },
+        Err(_) => return Ok(closing(StatusCode::REQUEST_TIMEOUT)),
+    };
+    let outgoing = Outgoing {
+        method: head.method,
+        uri: origin_form(&head.uri),
+        headers: end_to_end(head.headers),
+        body,
+        settled: Cell::new(false),
+    };
+    let request = NewRequest {
+        id: 0,
+        class: facts.class,
+        tenant: facts.tenant,
+        key: facts.key,
+        due,
+        work: facts.work,
+        repeat: facts.repeat,
+    };
+    let mut owed = handle.submit(request, outgoing);
+    // The module answers in time by itself. These two bound it from outside; both drop what is owed, which
+    // tells the module that the request is over.
+    let answer = tokio::select! {
+        biased;
+        answer = owed.answer() => answer,
+        () = sleep_until(handle.instant(due)) => Answer::Failed,
+        _ = stop.wait_for(|s| *s == Stop::Now) => Answer::Failed,
+    };
+    Ok(match answer {
+        Answer::Served(Served { headers, body }) => {
+            let mut reply = Response::new(Full::new(body));
+            *reply.headers_mut() = end_to_end(headers);
+            reply
+        }
+        Answer::Refused(hold_off) => {
+            let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE);
+            if hold_off > 0
+                && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", hold_off as f64 / 1e6))
+            {
+                reply.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+            reply
+        }
+        // Neither 429 nor 503, which would promise that trying again is harmless.
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY),
+    })
+}
