--- /dev/null
+++ b/tests/ordinary/main.rs
@@ -0,0 +1,9 @@
+//! The ordinary path: turns, retries with waits, time-outs, breaker and bulwark.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod guards;
+mod retries;
+mod settings;
+mod turns;
--- /dev/null
+++ b/tests/ordinary/settings.rs
@@ -0,0 +1,40 @@
+//! Settings that can't be used.
+
+use crate::common::*;
+use linenproxy::*;
+
+#[test]
+fn unusable_settings_are_an_error() {
+    let spoil = |f: fn(&mut Settings)| {
+        let mut set = settings();
+        f(&mut set);
+        Balancer::new(set, 1).is_err()
+    };
+    assert!(spoil(|s| s.classes.clear()));
+    assert!(spoil(|s| s.classes[0].aim = 0));
+    assert!(spoil(|s| s.rules.cold_share = f64::NAN));
+    assert!(spoil(|s| s.rules.warm_within = -1));
+    assert!(spoil(|s| s.limits.max_attempts = 0));
+    assert!(!spoil(|_| ()));
+}
+
+#[test]
+fn an_error_of_settings_names_the_setting() {
+    type Spoil = fn(&mut Settings);
+    let spoilt: [(Spoil, &str); 8] = [
+        (|s| s.classes.clear(), "classes"),
+        (|s| s.classes[1].aim = 0, "aim"),
+        (|s| s.classes[0].deadline = -1, "deadline"),
+        (|s| s.classes[2].aim_stretch = f64::NAN, "aim_stretch"),
+        (|s| s.limits.max_attempts = 0, "max_attempts"),
+        (|s| s.rules.cold_share = f64::INFINITY, "cold_share"),
+        (|s| s.rules.tip_after = Micros::MAX, "tip_after"),
+        (|s| s.tick = -5, "tick"),
+    ];
+    for (spoil, word) in spoilt {
+        let mut set = settings();
+        spoil(&mut set);
+        let error = Balancer::new(set, 1).err().expect(word).to_string();
+        assert!(error.contains(word), "{error}");
+    }
+}
--- /dev/null
+++ b/tests/product/fleet.rs
@@ -0,0 +1,81 @@
+//! Membership in a fleet.
+
+use crate::harness::*;
+use crate::stubs::*;
+use std::net::SocketAddr;
+
+/// A free address for datagrams.
+fn unused_datagrams() -> SocketAddr {
+    std::net::UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a free port")
+}
+
+fn member(listen: SocketAddr, seed: SocketAddr, page: SocketAddr) -> File {
+    let fleet = format!("[fleet]\nenabled = true\nlisten = \"{listen}\"\nseeds = [\"{seed}\"]\n");
+    File::new(&metrics(page, &fleet))
+}
+
+/// Datagram sockets that a process holds.
+fn datagram_sockets(process: u32) -> usize {
+    let table = std::fs::read_to_string("/proc/net/udp").expect("it is there");
+    let inodes: Vec<String> = table
+        .lines()
+        .skip(1)
+        .filter_map(|l| Some(format!("socket:[{}]", l.split_whitespace().nth(9)?)))
+        .collect();
+    let held = std::fs::read_dir(format!("/proc/{process}/fd")).expect("it runs").flatten();
+    let held = held.filter_map(|fd| std::fs::read_link(fd.path()).ok()?.into_os_string().into_string().ok());
+    held.filter(|socket| inodes.contains(socket)).count()
+}
+
+#[test]
+fn members_find_each_other_and_one_that_stops_is_gone_at_once() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| served());
+    let [one, two] = [unused_datagrams(), unused_datagrams()];
+    let pages = [unused_address(), unused_address()];
+    let files = [member(one, two, pages[0]), member(two, one, pages[1])];
+    let (first, _said) = start_named("one", &discovery, &endpoint, &files[0]);
+    let (second, _said) = start_named("two", &discovery, &endpoint, &files[1]);
+    for (at, other) in [(pages[0], "two"), (pages[1], "one")] {
+        await_that("the other is known", || {
+            page(at, "/fleet").contains(&format!("\"name\": \"{other}\",\n      \"zone\""))
+        });
+        await_that("it is counted", || page(at, "/metrics").contains("tinflow_fleet_members 1"));
+    }
+    assert_eq!((ask(&first), ask(&second)), (200, 200));
+    assert_eq!(datagram_sockets(first.process.id()), 1);
+    second.terminate();
+    await_that("it has left", || page(pages[0], "/metrics").contains("tinflow_fleet_members 0"));
+    assert_eq!(ask(&first), 200);
+}
+
+#[test]
+fn without_a_fleet_there_is_neither_socket_nor_page() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| served());
+    let at = unused_address();
+    let file = File::new(&metrics(at, "[fleet]\nenabled = false\n"));
+    let (sidecar, _said) = start(&discovery, &endpoint, &file);
+    assert_eq!(ask(&sidecar), 200);
+    assert!(page(at, "/fleet").starts_with("HTTP/1.1 404 "));
+    assert!(!page(at, "/metrics").contains("fleet"));
+    assert_eq!(datagram_sockets(sidecar.process.id()), 0);
+}
+
+#[test]
+fn a_fleet_without_a_name_or_with_a_taken_address_ends_the_start() {
+    let holder = std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let at = holder.local_addr().expect("an address");
+    let file = File::new(&format!("[fleet]\nenabled = true\nlisten = \"{at}\"\n"));
+    let platform = File::new(&config(unused_address(), unused_address(), "null"));
+    let paths = [&file, &platform].map(|f| f.0.to_str().expect("text").to_owned());
+    for (name, code, words) in [
+        ("a", 69, format!("tinflow: cannot listen on fleet.listen {at}: ")),
+        ("", 78, "tinflow: fleet.enabled needs a name".to_owned()),
+    ] {
+        let output = run(&["--config", &paths[0]], &[("LB_CONFIG", &paths[1]), ("LB_NAME", name)]);
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(code), "{said}");
+        assert!(said.starts_with(&words) && said.lines().count() == 1, "{said}");
+    }
+}
--- /dev/null
+++ b/tests/product/main.rs
@@ -0,0 +1,10 @@
+//! The product parts of the sidecar, from outside: command line, product configuration, logs and metrics.
+
+#[path = "../stubs/mod.rs"]
+mod stubs;
+
+mod configuration;
+mod fleet;
+mod harness;
+mod logs;
+mod metrics;
--- /dev/null
+++ b/tests/sidecar/connections.rs
@@ -0,0 +1,72 @@
+//! How connections on both sides are kept, crowded out and closed.
+
+use crate::ok;
+use crate::stubs::*;
+use std::io::Write;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+#[test]
+fn connections_are_used_again_until_the_endpoint_closes_them_or_they_grow_old() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|message| match message.header("x-last") {
+        Some(_) => Reply::AnswerAndClose(200, "", b"last".to_vec()),
+        None => ok("served"),
+    });
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let made = || endpoint.made.load(Ordering::SeqCst);
+    // The last answer on the first connection does not say that it is the last. The next request must not be
+    // written to a connection that is closed, where it would end as a reset and, being unsafe, fail.
+    for headers in ["", "", "X-Last: 1\r\n"] {
+        assert_eq!(sidecar.ask(&request("book", headers, "")).expect("an answer").status(), 200);
+        assert_eq!(made(), 1);
+    }
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+    assert_eq!((made(), endpoint.closed()), (2, 0));
+    // The sidecar closes it by itself before the endpoint's idle time is over, which is never here.
+    await_that("the idle connection is retired", || endpoint.closed() == 1);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+    assert_eq!(made(), 3);
+}
+
+#[test]
+fn connections_that_say_nothing_keep_out_no_request() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = Sidecar::start_with(&discovery, &[("s-1", &endpoint)], 1024, 64);
+    let crowd: Vec<_> = (0..100).map(|_| sidecar.connect()).collect();
+    assert_eq!(sidecar.ask(&request("look", "", "")).expect("an answer").status(), 200);
+    drop(crowd);
+}
+
+// Anyone may connect. Half a minute is what these stubs wait at the most; the requests would wait for longer.
+#[test]
+fn peers_that_say_nothing_or_stop_half_way_are_closed_or_told_of_an_error() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let patient = request("book", "", "{}").replace("19000m", "600000m");
+    let [mut silent, mut half, mut bodiless] = [(); 3].map(|()| sidecar.connect());
+    half.write_all(&patient.as_bytes()[..40]).expect("the sidecar takes it");
+    bodiless.write_all(&patient.as_bytes()[..patient.len() - 1]).expect("the sidecar takes it");
+    assert_eq!(read_message(&mut bodiless).expect("an answer").status(), 408);
+    for peer in [&mut silent, &mut half, &mut bodiless] {
+        assert!(await_close(peer), "a connection stayed open");
+    }
+    assert_eq!(endpoint.requests(), 0);
+}
+
+#[test]
+fn it_survives_a_want_of_descriptors() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = Sidecar::start_with(&discovery, &[("s-1", &endpoint)], 24, 1024);
+    let crowd: Vec<_> = (0..60).map(|_| sidecar.connect()).collect();
+    thread::sleep(Duration::from_millis(200));
+    drop(crowd);
+    await_that("it serves again", || {
+        sidecar.ask(&request("look", "", "")).is_some_and(|a| a.status() == 200)
+    });
+}
--- /dev/null
+++ b/tests/sidecar/starting.rs
@@ -0,0 +1,50 @@
+//! Starts that fail, and a log that nobody reads.
+
+use crate::ok;
+use crate::stubs::*;
+use std::process::{Command, Stdio};
+
+#[test]
+fn a_configuration_that_cannot_be_used_ends_it_with_one_plain_line() {
+    let address = "127.0.0.1:9".parse().expect("an address");
+    let good = config(address, address, "null");
+    let texts = ["", "{}", &good.replace("\"side_effect\"", "\"odd\""), &good.replace("1024", "3")];
+    let paths: Vec<_> = texts.iter().map(|text| Some(config_file(text))).collect();
+    for path in paths.into_iter().chain([None, Some("/nonexistent/config.json".into())]) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tinflow"));
+        match &path {
+            Some(path) => command.env("LB_CONFIG", path),
+            None => command.env_remove("LB_CONFIG"),
+        };
+        let output = command.stdin(Stdio::null()).output().expect("it starts");
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(1), "{said}");
+        assert!(said.starts_with("tinflow: ") && said.lines().count() == 1, "{said}");
+    }
+}
+
+// Who reads the log may end; a sidecar that serves must not end with it.
+#[test]
+fn a_standard_error_that_nobody_reads_any_more_does_not_end_it() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let mut sidecar = Sidecar::start_adapted(
+        &discovery,
+        &[("s-1", &endpoint)],
+        1024,
+        |c| c,
+        |command| {
+            command.stderr(Stdio::piped());
+        },
+    );
+    drop(sidecar.process.stderr.take().expect("it is a pipe"));
+    // Writes a line, as the file cannot be read.
+    sidecar.reconfigure(|_| "{".to_owned());
+    // The reload that is followed shows that the line before it was written in vain.
+    let other = Discovery::start();
+    other.publish(1, list(1, true, &[("s-1", endpoint.address, "active")]));
+    let to = config(sidecar.address, other.address, "null");
+    sidecar.reconfigure(|_| to.clone());
+    await_that("discovery is followed", || !other.calls().is_empty() || sidecar.process.id() == 0);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+}
--- /dev/null
+++ b/tests/stubs/discovery.rs
@@ -0,0 +1,92 @@
+//! A stub of discovery.
+
+use super::message::{Message, answer, read_message};
+use super::{LONG, await_that};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Discovery: answers watches when something newer is published.
+pub struct Discovery {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<Listed>, Condvar)>,
+    /// Every call is answered with 503 while set.
+    pub failing: Arc<AtomicBool>,
+}
+
+#[derive(Default)]
+struct Listed {
+    version: u64,
+    body: String,
+    calls: Vec<String>,
+}
+
+impl Discovery {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let discovery = Self { address, state: Arc::default(), failing: Arc::default() };
+        let (state, failing) = (discovery.state.clone(), discovery.failing.clone());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let (state, failing) = (state.clone(), failing.clone());
+                thread::spawn(move || {
+                    while let Some(call) = read_message(&mut stream) {
+                        let (status, body) = Self::wait(&state, &failing, &call);
+                        answer(&mut stream, status, "", body.as_bytes());
+                    }
+                });
+            }
+        });
+        discovery
+    }
+
+    fn wait(state: &(Mutex<Listed>, Condvar), failing: &AtomicBool, call: &Message) -> (u16, String) {
+        let mut listed = state.0.lock().expect("no stub panics");
+        listed.calls.push(call.start.clone());
+        let after = call.start.split(['=', '&']).nth(1).and_then(|n| n.parse().ok()).unwrap_or(0);
+        let until = Instant::now() + LONG;
+        loop {
+            if failing.load(Ordering::SeqCst) {
+                return (503, String::new());
+            }
+            if listed.version > after {
+                return (200, listed.body.clone());
+            }
+            if Instant::now() >= until {
+                return (200, format!(r#"{{"index":{after},"snapshot":false,"endpoints":[]}}"#));
+            }
+            listed = state.1.wait_timeout(listed, Duration::from_millis(20)).expect("no stub panics").0;
+        }
+    }
+
+    /// Publishes an answer, from which on `version` is the newest.
+    pub fn publish(&self, version: u64, body: String) {
+        let mut listed = self.state.0.lock().expect("no stub panics");
+        (listed.version, listed.body) = (version, body);
+        self.state.1.notify_all();
+    }
+
+    pub fn calls(&self) -> Vec<String> {
+        self.state.0.lock().expect("no stub panics").calls.clone()
+    }
+
+    /// Waits until a watch for news after `version` is open: what came before has then been taken in.
+    pub fn await_watch(&self, version: u64) {
+        let call = format!("after={version}&");
+        await_that("the watch goes on", || self.calls().iter().any(|c| c.contains(&call)));
+    }
+}
+
+/// A list, or changes to one, as discovery writes it: name, address and status of each entry.
+pub fn list(index: u64, snapshot: bool, entries: &[(&str, SocketAddr, &str)]) -> String {
+    let entry = |(name, address, status): &(&str, SocketAddr, &str)| {
+        format!(
+            r#"{{"name":"{name}","address":"{address}","zone":"a","type":"m","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+        )
+    };
+    let entries: Vec<_> = entries.iter().map(entry).collect();
+    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
+}
--- /dev/null
+++ b/tests/stubs/endpoint.rs
@@ -0,0 +1,86 @@
+//! A stub endpoint.
+
+use super::message::{Message, answer, read_message};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// What an endpoint does with a request.
+pub enum Reply {
+    /// Status, further header lines, body.
+    Answer(u16, &'static str, Vec<u8>),
+    /// The same, and then it closes the connection without having said so.
+    AnswerAndClose(u16, &'static str, Vec<u8>),
+    /// The same after a while.
+    Later(Duration, Vec<u8>),
+    /// It keeps the connection and says nothing.
+    Silence,
+    /// It closes the connection.
+    Close,
+}
+
+/// An endpoint that notes what reaches it.
+pub struct Endpoint {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Message>>>,
+    /// Connections that were made, and those that the sidecar has closed.
+    pub made: Arc<AtomicUsize>,
+    pub closed: Arc<AtomicUsize>,
+}
+
+impl Endpoint {
+    pub fn start(reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a free port"), reply)
+    }
+
+    pub fn on(listener: TcpListener, reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Self {
+        let address = listener.local_addr().expect("an address");
+        let endpoint = Self { address, seen: Arc::default(), made: Arc::default(), closed: Arc::default() };
+        let (seen, made, closed) = (endpoint.seen.clone(), endpoint.made.clone(), endpoint.closed.clone());
+        let reply = Arc::new(reply);
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                made.fetch_add(1, Ordering::SeqCst);
+                let (seen, closed, reply) = (seen.clone(), closed.clone(), reply.clone());
+                thread::spawn(move || serve(stream, &seen, &closed, &*reply));
+            }
+        });
+        endpoint
+    }
+
+    pub fn requests(&self) -> usize {
+        self.seen.lock().expect("no stub panics").len()
+    }
+
+    pub fn closed(&self) -> usize {
+        self.closed.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    seen: &Mutex<Vec<Message>>,
+    closed: &AtomicUsize,
+    reply: &dyn Fn(&Message) -> Reply,
+) {
+    while let Some(message) = read_message(&mut stream) {
+        let reply = reply(&message);
+        seen.lock().expect("no stub panics").push(message);
+        match reply {
+            Reply::Answer(status, headers, body) => answer(&mut stream, status, headers, &body),
+            Reply::AnswerAndClose(status, headers, body) => {
+                answer(&mut stream, status, headers, &body);
+                return;
+            }
+            Reply::Later(time, body) => {
+                thread::sleep(time);
+                answer(&mut stream, 200, "", &body);
+            }
+            Reply::Silence => {}
+            Reply::Close => return,
+        }
+    }
+    closed.fetch_add(1, Ordering::SeqCst);
+}
--- /dev/null
+++ b/tests/stubs/message.rs
@@ -0,0 +1,82 @@
+//! HTTP messages as the stubs read and write them.
+
+use super::LONG;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+
+/// An HTTP message as it came in.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+}
+
+/// Reads one message; `None` once the other side has closed or reset the connection, or said nothing for long.
+pub fn read_message(stream: &mut TcpStream) -> Option<Message> {
+    stream.set_read_timeout(Some(LONG)).expect("a time-out can be set");
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).expect("heads are text");
+    let mut lines = head.lines();
+    let start = lines.next()?.to_owned();
+    let pairs = lines.filter_map(|l| l.split_once(": "));
+    let headers: Vec<_> = pairs.map(|(n, v)| (n.to_owned(), v.to_owned())).collect();
+    let mut message = Message { start, headers, body: Vec::new() };
+    let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// Writes an answer.
+pub fn answer(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) {
+    let head = format!("HTTP/1.1 {status} stub\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+    let whole: Vec<u8> = head.bytes().chain(body.iter().copied()).collect();
+    // The sidecar may have given up on it.
+    let _ = stream.write_all(&whole);
+}
+
+/// A request of a class, with further header lines and a body.
+pub fn request(class: &str, headers: &str, body: &str) -> String {
+    let (method, key) = match class {
+        "look" => ("GET", ""),
+        "pay" => ("POST", "Idempotency-Key: 5c0f6e1a\r\n"),
+        _ => ("POST", ""),
+    };
+    format!(
+        "{method} /api?site=4 HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: 9b1f03aa\r\n\
+         X-Service-Class: {class}\r\nX-Account: acme\r\nX-Time-Left: 19000m\r\n{key}{headers}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Waits until the other side has closed the connection.
+pub fn await_close(stream: &mut TcpStream) -> bool {
+    stream.set_read_timeout(Some(LONG)).expect("a time-out can be set");
+    let mut rest = [0; 1024];
+    loop {
+        match stream.read(&mut rest) {
+            Ok(0) => return true,
+            Ok(_) => {}
+            Err(e) => return !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
+}
