Put members and stewards of pinned revisions into one fleet with today's, and read what they left

Datagrams and logs of either version had to be read by the other, and nothing tried. A part that talks in lines of text, built as an example of the pinned revision's own packages and as a part of the lab, lets both take part in one play in simulated time.

The judges are seen to find a datagram of another version and a differing book.

--- a/crates/lab/pairs/recorder/later.rs
+++ b/crates/lab/pairs/recorder/later.rs
@@ -1,5 +1,6 @@
 //! What revisions with standing and carried pieces have beyond the earlier ones.
 
+use super::lines::hex;
 use linenproxy_fleet::core::{Core, Effects};
 use linenproxy_fleet::section::FleetSection;
 
@@ -16,9 +17,5 @@
 
 /// What was carried here.
 pub fn carried(effects: &Effects) -> Vec<String> {
-    effects
-        .carried
-        .iter()
-        .map(|piece| format!("carried {} {}", piece.kind, super::hex(&piece.bytes)))
-        .collect()
+    effects.carried.iter().map(|piece| format!("carried {} {}", piece.kind, hex(&piece.bytes))).collect()
 }
--- a/crates/lab/pairs/recorder/member.rs
+++ b/crates/lab/pairs/recorder/member.rs
@@ -6,13 +6,11 @@
 //! `datagram NOW FROM HEX`, `witness NOW ENDPOINT SERVED`, `carry NOW KIND HEX`, `leave NOW`, `state`. Answered: any of
 //! `datagram TO HEX`, `word ENDPOINT REST`, `carried KIND HEX`, `state MEMBERS RECEIVED HEARD DROPPED`, then `.`.
 
-mod later;
-
+use super::later;
+use super::lines::{bytes, hex, read};
 use linenproxy_fleet::core::{Core, Listed};
 use linenproxy_fleet::evidence::Sign;
 use linenproxy_fleet::section::FleetSection;
-use std::fmt::Write as _;
-use std::io::{self, BufRead, Write};
 
 /// A member, once it has been started.
 #[derive(Default)]
@@ -72,47 +70,3 @@
         Ok(answers)
     }
 }
-
-/// Serves one member until the end of input.
-///
-/// # Errors
-/// A line cannot be read, or a pipe broke.
-pub fn serve(input: impl BufRead, mut output: impl Write) -> io::Result<()> {
-    let mut session = Session::default();
-    for line in input.lines() {
-        let answers = session.line(&line?).map_err(io::Error::other)?;
-        for answer in answers {
-            writeln!(output, "{answer}")?;
-        }
-        writeln!(output, ".")?;
-        output.flush()?;
-    }
-    Ok(())
-}
-
-fn read<T: std::str::FromStr>(word: &str) -> Result<T, String> {
-    word.parse().map_err(|_| format!("cannot read {word:?}"))
-}
-
-/// Bytes as text.
-pub fn hex(bytes: &[u8]) -> String {
-    bytes.iter().fold(String::with_capacity(2 * bytes.len()), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
-
-/// Text as bytes.
-///
-/// # Errors
-/// It is none.
-pub fn bytes(hex: &str) -> Result<Vec<u8>, String> {
-    let byte = |at: usize| hex.get(at..at + 2).and_then(|two| u8::from_str_radix(two, 16).ok());
-    let all = (0..hex.len()).step_by(2).map(byte).collect::<Option<Vec<u8>>>();
-    all.ok_or_else(|| "not hexadecimal".to_owned())
-}
-
-#[allow(dead_code, reason = "the example's; the lab takes the member itself")]
-fn main() -> io::Result<()> {
-    serve(io::stdin().lock(), io::stdout().lock())
-}
--- a/crates/lab/src/bin/linenproxy-lab/pair.rs
+++ b/crates/lab/src/bin/linenproxy-lab/pair.rs
@@ -5,10 +5,11 @@
 use clap::Subcommand;
 use linenproxy_common::cli::Exit;
 use linenproxy_common::units::Time;
-use linenproxy_lab::pairs::builds::{BuildError, build};
+use linenproxy_lab::pairs::builds::{BuildError, MEMBER, STEWARD, build};
 use linenproxy_lab::pairs::feed::{answers, parting};
 use linenproxy_lab::pairs::histories::{Kind, history};
 use linenproxy_lab::pairs::pins::{Pins, Revision};
+use linenproxy_lab::pairs::{lan, stewards};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::Write as _;
@@ -48,6 +49,21 @@
         #[arg(long, default_value_t = 0)]
         first: u64,
     },
+    /// Put members, and stewards where it has them, of a pinned revision and of today into one fleet, in simulated time:
+    /// exits with 1 where one does not read what the other says or keeps.
+    Mix {
+        /// The revision.
+        name: String,
+        /// Where builds are.
+        #[arg(long, default_value = "target/pairs")]
+        builds: PathBuf,
+        /// The first play's seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Write what an earlier member and steward were told by others of their revision to this folder.
+        #[arg(long, value_name = "DIR")]
+        record: Option<PathBuf>,
+    },
     /// Write down what today's module decides in each history, one hash a line.
     Record {
         /// The file.
@@ -58,6 +74,11 @@
     },
 }
 
+/// Ticks with orders, and messages at the end, of what is recorded of an earlier steward: some tens of kilobytes.
+const RECORDED: u64 = 60;
+/// See [`RECORDED`].
+const MESSAGES: usize = 100;
+
 pub fn pair(what: Pair) -> Result<Exit, Exit> {
     match what {
         Pair::Build { names, builds, pins, within } => {
@@ -75,6 +96,7 @@
             let pins = read(&pins)?;
             hold(named(&pins, &name)?, &builds, first..first.saturating_add(histories))
         }
+        Pair::Mix { name, builds, seed, record } => mix(&builds.join(name), seed, record.as_deref()),
         Pair::Record { file, histories } => {
             let mut text = String::new();
             for number in 0..histories {
@@ -119,6 +141,58 @@
     Ok(if unmeant == 0 { Exit::Done } else { Exit::Failed })
 }
 
+fn mix(build: &Path, seed: u64, record: Option<&Path>) -> Result<Exit, Exit> {
+    let failed = |e: std::io::Error| say(&format!("{}: {e}", build.display()), Exit::Software);
+    let mut wrong = Vec::new();
+    let member = build.join(MEMBER);
+    // By turns, so that each zone has both: a third, half, two thirds, all.
+    for old in [3, 5, 6, lan::MEMBERS] {
+        let mut programs = [None; lan::MEMBERS];
+        programs.iter_mut().take(old).for_each(|place| *place = Some(member.as_path()));
+        let came = lan::play(&programs, seed).map_err(failed)?;
+        let found = lan::judge(&came, |place| place < old);
+        tell(&format!("members, {old} of {} old: {}", lan::MEMBERS, lan::sum(&came)));
+        wrong.extend(found.into_iter().map(|what| format!("{old} old members: {what}")));
+        if let Some(folder) = record.filter(|_| old == lan::MEMBERS) {
+            write(&folder.join("member.txt"), &came[0].told)?;
+        }
+    }
+    let steward = build.join(STEWARD);
+    if steward.is_file() {
+        let (old, new) = (Some(steward.as_path()), None);
+        let folder = tempfile::tempdir().map_err(failed)?;
+        // All old; forward one by one, back in the middle, forward to the end.
+        let stages = [
+            [old, old, old],
+            [new, old, old],
+            [new, new, old],
+            [old, new, old],
+            [new, new, old],
+            [new, new, new],
+        ];
+        let came = stewards::play(folder.path(), &stages, stewards::STAGE).map_err(failed)?;
+        tell(&format!("stewards: {}", stewards::sum(&came)));
+        wrong.extend(stewards::judge(&came));
+        if let Some(record) = record {
+            let folder = tempfile::tempdir().map_err(failed)?;
+            let came = stewards::play(folder.path(), &[[old, old, old]], RECORDED).map_err(failed)?;
+            let steps: Vec<&String> = came.told[2].iter().filter(|line| line.starts_with("step ")).collect();
+            let last = steps[steps.len().saturating_sub(MESSAGES)..].iter().map(|line| (*line).clone());
+            let lines: Vec<String> = std::iter::once(came.books[2].clone()).chain(last).collect();
+            write(&record.join("steward.txt"), &lines)?;
+            let file = std::fs::read(folder.path().join("steward-2.redb")).map_err(failed)?;
+            write(&record.join("steward-store.txt"), &stewards::sparse(&file))?;
+        }
+    }
+    wrong.iter().for_each(|what| tell(what));
+    Ok(if wrong.is_empty() { Exit::Done } else { Exit::Failed })
+}
+
+fn write(file: &Path, lines: &[String]) -> Result<(), Exit> {
+    std::fs::write(file, lines.join("\n") + "\n")
+        .map_err(|e| say(&format!("cannot write {}: {e}", file.display()), Exit::Io))
+}
+
 fn read(file: &Path) -> Result<Pins, Exit> {
     Pins::load(file).map_err(|problem| say(&problem, Exit::Config))
 }
--- a/crates/lab/src/pairs/builds.rs
+++ b/crates/lab/src/pairs/builds.rs
@@ -12,6 +12,10 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// The profile of a pinned build: that of today's product programs.
 const PROFILE: &str = "product";
+/// The program by which a revision's member talks in lines, see `pairs/recorder`; and its steward, where it has one.
+pub const MEMBER: &str = "pairs-member";
+/// See [`MEMBER`].
+pub const STEWARD: &str = "pairs-steward";
 
 /// Why a revision could not be built.
 #[derive(Debug)]
@@ -63,7 +67,8 @@
     // Its steps run in other folders.
     let target = std::path::absolute(folder(builds, &revision.name)).map_err(io("the folder of builds"))?;
     let stamp = target.join("commit");
-    let programs = || revision.program.iter().map(|program| target.join(&program.name));
+    let programs =
+        || revision.program.iter().map(|p| p.name.as_str()).chain([MEMBER]).map(|p| target.join(p));
     if fs::read_to_string(&stamp).is_ok_and(|c| c == revision.commit) && programs().all(|p| p.is_file()) {
         return Ok(target);
     }
@@ -90,10 +95,53 @@
         let built = target.join("target").join(PROFILE).join(&program.name);
         fs::copy(&built, target.join(&program.name)).map_err(io("a program that was built"))?;
     }
+    for recorder in recorders(&sources).map_err(io("a part that talks in lines"))? {
+        let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+        cargo.current_dir(&sources).args(["build", "--locked", "--profile", PROFILE]);
+        cargo.args(["-p", recorder.package, "--example", recorder.name, "--target-dir"]);
+        step("cargo build", cargo.arg(target.join("target")), until)?;
+        let built = target.join("target").join(PROFILE).join("examples").join(recorder.name);
+        fs::copy(&built, target.join(recorder.name)).map_err(io("a part that talks in lines"))?;
+    }
     fs::write(&stamp, &revision.commit).map_err(io("the commit's name"))?;
     Ok(target)
 }
 
+/// A part that talks in lines, built as an example of a revision's own package.
+struct Recorder {
+    package: &'static str,
+    name: &'static str,
+}
+
+/// Lays the parts that talk in lines beside the sources of a revision, as far as it has what they speak for.
+fn recorders(sources: &Path) -> io::Result<Vec<Recorder>> {
+    let ours = Path::new(env!("CARGO_MANIFEST_DIR")).join("pairs/recorder");
+    let lay = |of: &str, name: &str, files: &[(&str, &str)], main: &str| -> io::Result<()> {
+        let folder = sources.join("crates").join(of).join("examples").join(name);
+        fs::create_dir_all(&folder)?;
+        for (from, to) in files.iter().chain(&[("lines.rs", "lines.rs")]) {
+            fs::copy(ours.join(from), folder.join(to))?;
+        }
+        fs::write(folder.join("main.rs"), main)
+    };
+    let serves = |part: &str| {
+        format!(
+            "fn main() -> std::io::Result<()> {{\n    let mut session = {part}::Session::default();\n    lines::serve(|line| session.line(line))\n}}\n"
+        )
+    };
+    let carries = sources.join("crates/fleet/src/carrier.rs").is_file();
+    let later = if carries { "later.rs" } else { "earlier.rs" };
+    let files = [("member.rs", "member.rs"), (later, "later.rs")];
+    lay("fleet", MEMBER, &files, &format!("mod later;\nmod lines;\nmod member;\n\n{}", serves("member")))?;
+    let mut all = vec![Recorder { package: "linenproxy-fleet", name: MEMBER }];
+    if sources.join("crates/steward/src/agreement").is_dir() {
+        let main = format!("mod lines;\nmod steward;\n\n{}", serves("steward"));
+        lay("steward", STEWARD, &[("steward.rs", "steward.rs")], &main)?;
+        all.push(Recorder { package: "linenproxy-steward", name: STEWARD });
+    }
+    Ok(all)
+}
+
 fn git(repository: &Path) -> Command {
     let mut git = Command::new("git");
     git.arg("-C").arg(repository);
--- a/crates/lab/src/pairs/lan.rs
+++ b/crates/lab/src/pairs/lan.rs
@@ -2,59 +2,13 @@
 //! fleet goes through.
 
 use super::member::Session;
+use super::part::Part;
+use linenproxy_fleet::frame::Dropped;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::io::{self, BufRead, BufReader, Write};
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
-use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
-
-/// A member: of today, or one that an earlier revision's program plays.
-enum Member {
-    Here(Box<Session>),
-    There { child: Child, into: ChildStdin, out: BufReader<ChildStdout> },
-}
-
-impl Member {
-    fn new(program: Option<&Path>) -> io::Result<Self> {
-        let Some(program) = program else { return Ok(Self::Here(Box::default())) };
-        let mut command = Command::new(program);
-        let mut child = command.env_clear().stdin(Stdio::piped()).stdout(Stdio::piped()).spawn()?;
-        match (child.stdin.take(), child.stdout.take()) {
-            (Some(into), Some(out)) => Ok(Self::There { child, into, out: BufReader::new(out) }),
-            _ => Err(io::Error::other("it has no pipes")),
-        }
-    }
-
-    fn ask(&mut self, line: &str) -> io::Result<Vec<String>> {
-        match self {
-            Self::Here(session) => session.line(line).map_err(io::Error::other),
-            Self::There { into, out, .. } => {
-                into.write_all(format!("{line}\n").as_bytes())?;
-                let mut answers = Vec::new();
-                loop {
-                    let mut answer = String::new();
-                    if out.read_line(&mut answer)? == 0 {
-                        return Err(io::Error::other(format!("it ended at {line:?}")));
-                    }
-                    match answer.trim_end() {
-                        "." => return Ok(answers),
-                        answer => answers.push(answer.to_owned()),
-                    }
-                }
-            }
-        }
-    }
-}
-
-impl Drop for Member {
-    fn drop(&mut self) {
-        if let Self::There { child, .. } = self {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
 
 /// What came of it at one member.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -99,7 +53,7 @@
 }
 
 struct Lan {
-    members: Vec<Member>,
+    members: Vec<Part>,
     came: Vec<Came>,
     mail: BinaryHeap<Reverse<(i64, u64, usize, String)>>,
     number: u64,
@@ -112,7 +66,14 @@
 /// # Errors
 /// A program cannot be started, ends, or cannot read what it is told.
 pub fn play(programs: &[Option<&Path>; MEMBERS], seed: u64) -> io::Result<Vec<Came>> {
-    let members = programs.iter().map(|program| Member::new(*program)).collect::<io::Result<_>>()?;
+    let member = |program: &Option<&Path>| match program {
+        Some(program) => Part::of(program),
+        None => {
+            let mut session = Session::default();
+            Ok(Part::here(move |line| session.line(line)))
+        }
+    };
+    let members = programs.iter().map(member).collect::<io::Result<_>>()?;
     let came = vec![Came::default(); MEMBERS];
     let rng = fastrand::Rng::with_seed(seed);
     let mut lan = Lan { members, came, mail: BinaryHeap::new(), number: 0, rng, now: BEGIN };
@@ -134,6 +95,46 @@
     Ok(lan.came)
 }
 
+/// What is wrong with how a fleet went, whose members for which `old` holds are of an earlier revision.
+pub fn judge(came: &[Came], old: impl Fn(usize) -> bool) -> Vec<String> {
+    let newer: Vec<usize> = (0..came.len()).filter(|m| !old(*m)).collect();
+    let mut wrong = Vec::new();
+    for (member, c) in came.iter().enumerate() {
+        let mut find =
+            |what: &str| wrong.push(format!("member {member} {what}: {}", sum(&came[member..=member])));
+        // The one that leaves has no say at the end.
+        let all = came.len() - 1;
+        if c.members[0] != all || (member != all && c.members[1] != all - 1) {
+            find("does not know who is there");
+        }
+        if !c.rested.contains(&0) || c.rested.len() > 1 || c.heard == 0 {
+            find("does not rest what the others found sick");
+        }
+        // What cannot be read; a kind that is not known is for earlier members only. Other reasons, such as news from who is
+        // not known yet, are no matter of versions.
+        let unread =
+            [Dropped::TooLong, Dropped::Malformed, Dropped::Version, Dropped::Cluster, Dropped::Forged];
+        let count = |why: Dropped| c.dropped.get(why as usize).copied().unwrap_or(0);
+        if unread.into_iter().any(|why| count(why) > 0) || (!old(member) && count(Dropped::Kind) > 0) {
+            find("cannot read what it should");
+        }
+        let others = newer.iter().filter(|other| **other != member);
+        if !old(member) && !others.clone().all(|m| c.carried.contains(&format!("{m:02x}"))) {
+            find("misses pieces that were carried");
+        }
+    }
+    wrong
+}
+
+/// It all in a line: for each member, whom it knew, what it heard, dropped and was handed.
+pub fn sum(came: &[Came]) -> String {
+    let of = |c: &Came| {
+        let (members, dropped) = (c.members, &c.dropped);
+        format!("{members:?} heard {} dropped {dropped:?} carried {}", c.heard, c.carried.len())
+    };
+    came.iter().map(of).collect::<Vec<_>>().join("; ")
+}
+
 impl Lan {
     fn step(&mut self) -> io::Result<()> {
         let until = self.now + STEP;
--- a/crates/lab/tests/pairs.rs
+++ b/crates/lab/tests/pairs.rs
@@ -3,6 +3,7 @@
 use linenproxy_lab::pairs::feed::parting;
 use linenproxy_lab::pairs::histories::{Kind, history};
 use linenproxy_lab::pairs::pins::Pins;
+use linenproxy_lab::pairs::{lan, member, steward, stewards};
 use std::path::{Path, PathBuf};
 
 fn recorded(name: &str) -> PathBuf {
@@ -47,3 +48,63 @@
     assert!(digests.lines().count() >= 1000, "too little is recorded");
     assert!(changed.is_empty(), "decisions differ in {changed:?}: declare why, see docs/versions.md");
 }
+
+fn text(name: &str) -> String {
+    std::fs::read_to_string(recorded("recorded").join(name)).expect("it is recorded")
+}
+
+#[test]
+fn a_member_of_today_reads_all_that_an_earlier_one_was_told() {
+    let (mut session, text) = (member::Session::default(), text("member.txt"));
+    let mut answers = Vec::new();
+    for line in text.lines() {
+        answers.extend(session.line(line).expect("it is a line of the talk"));
+    }
+    let state = session.line("state").expect("it runs").concat();
+    let words: Vec<&str> = state.split(' ').collect();
+    let [_, members, received, heard, dropped] = words[..] else { panic!("{state}") };
+    // All others but the one that left; whatever came was of a form that is known.
+    assert_eq!(members, (lan::MEMBERS - 2).to_string(), "{state}");
+    assert!(received.parse::<usize>().expect("a number") > 100 && heard != "0", "{state}");
+    let dropped: Vec<u64> = dropped.split(',').map(|n| n.parse().expect("a number")).collect();
+    use linenproxy_fleet::frame::Dropped::{Cluster, Forged, Kind, Malformed, TooLong, Version};
+    let unread = [TooLong, Malformed, Version, Cluster, Forged, Kind].map(|why| dropped[why as usize]);
+    assert_eq!(unread, [0; 6], "{state}");
+    assert!(answers.iter().any(|answer| answer.starts_with("word 0 Yes")), "it rests nothing");
+    let carried = answers.iter().filter(|answer| answer.starts_with("carried ")).count();
+    assert_eq!(carried, lan::MEMBERS - 1);
+}
+
+#[test]
+fn a_steward_of_today_goes_on_with_an_earlier_ones_log_and_messages() {
+    let (folder, text) = (tempfile::tempdir().expect("a folder"), text("steward.txt"));
+    let file = folder.path().join("steward-2.redb");
+    let bytes = stewards::whole(&self::text("steward-store.txt")).expect("it holds a file");
+    std::fs::write(&file, bytes).expect("it can be written");
+    let mut session = steward::Session::default();
+    let mut ask = |line: &str| session.line(line).unwrap_or_else(|e| panic!("{line:?}: {e}"));
+    assert_eq!(ask(&format!("start s2 7 99 0 {}", file.display())), [""; 0], "the file was set aside");
+    ask("tick");
+    let mut lines = text.lines();
+    let book = lines.next().expect("the book comes first");
+    let passed = lines.filter(|line| ask(line).contains(&"passed true".to_owned())).count();
+    let state = ask("state").concat();
+    // It has the number of the earlier disk, and every order with its time.
+    assert_eq!(state, format!("state 102 false {book}"));
+    assert!(book.matches(',').count() > 10 && passed > 50, "{passed} messages were let in");
+}
+
+#[test]
+fn members_and_stewards_of_one_version_go_through_the_play_of_two() {
+    let came = lan::play(&[None; lan::MEMBERS], 1).expect("they play");
+    assert_eq!(lan::judge(&came, |_| false), [""; 0]);
+    // A datagram that cannot be read is found.
+    let mut other = came.clone();
+    other[0].dropped[linenproxy_fleet::frame::Dropped::Version as usize] = 1;
+    assert_eq!(lan::judge(&other, |_| false).len(), 1);
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut came = stewards::play(folder.path(), &[[None; stewards::STEWARDS]], 60).expect("they play");
+    assert_eq!(stewards::judge(&came), [""; 0]);
+    came.books[1].push('1');
+    assert_eq!(stewards::judge(&came).len(), 1);
+}
