--- /dev/null
+++ b/crates/steward/tests/core/world.rs
@@ -0,0 +1,219 @@
+//! Stewards in simulated time with their network, disks, clocks and platform. Changes with what happens around them.
+
+use crate::carry::Parcel;
+use crate::platform::{Place, Platform, TICK_MS};
+use linenproxy_maintenance::{Agreement, Event, Request, Target};
+use linenproxy_steward::agreement::{Options, Shelf};
+use linenproxy_steward::core::{Input, Now, Settings, Steward};
+use linenproxy_store::disk::Disk;
+use linenproxy_store::{Refusal, Store};
+use std::collections::{BTreeMap, BTreeSet};
+
+const START_MS: i64 = 1_800_000_000_000;
+pub const PATIENCE: usize = 10;
+/// Ticks between two rounds of looks.
+const ROUND: u64 = 10;
+
+pub struct Seat {
+    pub name: String,
+    disk: Disk,
+    pub steward: Option<Steward>,
+    /// Does nothing until then (SIGSTOP).
+    pub stopped_until: u64,
+    skew_ms: i64,
+    pub side: u8,
+}
+
+/// Chances in a thousand, and ticks.
+#[derive(Clone, Copy, Debug)]
+pub struct Net {
+    pub loss: u64,
+    pub delay: u64,
+}
+
+pub struct World {
+    pub random: fastrand::Rng,
+    pub now: u64,
+    pub seats: Vec<Seat>,
+    pub platform: Platform,
+    pub net: Net,
+    agreement: Agreement,
+    pub wire: BTreeMap<(u64, u64), Parcel>,
+    pub sent: u64,
+    /// Callers' requests by number, until they are answered.
+    pub asked: BTreeMap<u64, Request>,
+    pub booked: BTreeMap<String, u64>,
+    callers: u64,
+    /// When each term's leader could act first.
+    pub terms: BTreeMap<u64, u64>,
+    /// What was done for servers so far: orders, arrivals, answers.
+    pub moments: u64,
+    /// The leader is killed at this moment.
+    pub kill_at: Option<u64>,
+    pub kills: u64,
+}
+
+pub fn agreement() -> Agreement {
+    let text = r#"{"keep": 60, "keep_zone": {"z0": 20, "z1": 10}, "most_away": 3, "evidence_bound_ms": 5000,
+        "clear_most_ms": 20000, "repair_ms": 10000, "patience_ms": 60000}"#;
+    serde_json::from_str(text).expect("an agreement")
+}
+
+impl World {
+    pub fn new(seed: u64, size: usize, net: Net) -> Self {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let seat = |n: usize, random: &mut fastrand::Rng| Seat {
+            name: format!("s{n}"),
+            disk: Disk::new(),
+            steward: None,
+            stopped_until: 0,
+            skew_ms: random.i64(-1_000..1_000),
+            side: 0,
+        };
+        let seats = (0..size).map(|n| seat(n, &mut random)).collect();
+        let mut world = Self {
+            random,
+            now: 0,
+            seats,
+            platform: Platform::new(9, agreement()),
+            net,
+            agreement: agreement(),
+            wire: BTreeMap::new(),
+            sent: 0,
+            asked: BTreeMap::new(),
+            booked: BTreeMap::new(),
+            callers: 0,
+            terms: BTreeMap::new(),
+            moments: 0,
+            kill_at: None,
+            kills: 0,
+        };
+        (0..size).for_each(|place| world.start(place, place == 0));
+        world
+    }
+
+    pub fn start(&mut self, place: usize, found: bool) {
+        if self.seats[place].steward.is_some() {
+            return;
+        }
+        let (id, run) = (self.random.u64(1..), self.random.u64(..));
+        let names: Vec<String> = self.seats.iter().map(|seat| seat.name.clone()).collect();
+        let seat = &mut self.seats[place];
+        let store = match Store::on(seat.disk.clone(), &seat.name) {
+            Ok(store) => store,
+            Err(Refusal::Broken(_)) => {
+                seat.disk = Disk::new();
+                Store::on(seat.disk.clone(), &seat.name).expect("a new disk")
+            }
+            Err(refusal) => panic!("{refusal}"),
+        };
+        let shelf = Shelf::open(store, id).expect("what is kept belongs together");
+        let options = Options { name: seat.name.clone(), run, patience: PATIENCE, least: names.len().min(3) };
+        let word_ms = TICK_MS * PATIENCE as u64;
+        let settings =
+            Settings { names, agreement: self.agreement.clone(), again_ms: 500, lost_ms: 4_000, word_ms };
+        seat.steward = Some(Steward::new(shelf, options, settings, found).expect("starts"));
+    }
+
+    pub fn crash(&mut self, place: usize) {
+        let random = &mut self.random;
+        let seat = &mut self.seats[place];
+        seat.steward = None;
+        seat.disk = seat.disk.crash(|| random.bool());
+        self.kills += 1;
+    }
+
+    /// Takes the disk away with all that is on it.
+    pub fn empty(&mut self, place: usize) {
+        self.crash(place);
+        self.seats[place].disk = Disk::new();
+    }
+
+    pub fn voices(&self) -> usize {
+        let standing = self.seats.iter().filter_map(|s| s.steward.as_ref()).map(Steward::standing);
+        standing.filter(|s| s.voice).count()
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let acts = |s: &Seat| s.steward.as_ref().filter(|s| s.standing().acts).map(|s| s.standing().term);
+        let leaders = self.seats.iter().enumerate().filter_map(|(n, s)| Some((acts(s)?, n)));
+        leaders.max().map(|(_, place)| place)
+    }
+
+    pub fn clock(&self, place: usize) -> Now {
+        let mono_ms = self.now * TICK_MS;
+        Now { unix_ms: START_MS + mono_ms as i64 + self.seats[place].skew_ms, mono_ms }
+    }
+
+    /// Somebody asks for servers to be away, whoever answers.
+    pub fn ask(&mut self, name: &str, servers: &[usize], place: usize) {
+        let unix = self.clock(place).unix_ms;
+        let servers = servers.iter().map(|n| format!("a{n}")).collect();
+        let request = Request {
+            name: name.to_owned(),
+            target: Target::Servers(servers),
+            earliest_ms: 0,
+            latest_ms: unix + 600_000,
+            length_ms: 12_000,
+            overrun_ms: 6_000,
+            priority: 0,
+            split: true,
+        };
+        self.callers += 1;
+        self.asked.insert(self.callers, request.clone());
+        self.give(place, Input::Bring(self.callers, Event::Ask(request)));
+    }
+
+    /// Somebody takes a window back, or says that the work is finished.
+    pub fn bring(&mut self, place: usize, event: Event) {
+        self.callers += 1;
+        self.give(place, Input::Bring(self.callers, event));
+    }
+
+    pub fn pass(&mut self) {
+        self.now += 1;
+        self.platform.pass();
+        self.deliver();
+        for place in 0..self.seats.len() {
+            if self.now < self.seats[place].stopped_until {
+                continue;
+            }
+            self.give(place, Input::Tick);
+            let Some(standing) = self.seats[place].steward.as_ref().map(Steward::standing) else { continue };
+            if standing.acts {
+                self.terms.entry(standing.term).or_insert(self.now);
+                if self.now.is_multiple_of(ROUND) && !self.lost() {
+                    let (list, words) = (self.platform.list(), self.platform.words());
+                    self.give(place, Input::Listed(list));
+                    self.give(place, Input::Evidence(words));
+                }
+            }
+            if !standing.voice && self.now.is_multiple_of(3) {
+                let (name, host) = (self.seats[place].name.clone(), self.random.usize(0..self.seats.len()));
+                if self.seats[host].side == self.seats[place].side {
+                    self.callers += 1;
+                    self.give(host, Input::Admit(self.callers, standing.id, name));
+                }
+            }
+        }
+    }
+
+    /// Whether all windows are over, and every server serves.
+    pub fn over(&self) -> bool {
+        let leader = self.leader().and_then(|place| self.seats[place].steward.as_ref());
+        let Some(leader) = leader else { return false };
+        let closed = leader.view(self.clock(0)).windows.iter().all(|w| w.seats.iter().all(closed));
+        closed && self.platform.all.iter().all(|h| h.place == Place::Serving)
+    }
+
+    /// Numbers of the windows that the leader knows.
+    pub fn windows(&self) -> BTreeSet<u64> {
+        let leader = self.leader().and_then(|place| self.seats[place].steward.as_ref());
+        let windows = leader.map(|leader| leader.machine().windows()).unwrap_or_default();
+        windows.iter().map(|w| w.window).collect()
+    }
+}
+
+fn closed(seat: &linenproxy_maintenance::SeatView) -> bool {
+    seat.state == linenproxy_maintenance::State::Closed
+}
