--- a/src/bin/tinflow/fleet.rs
+++ b/src/bin/tinflow/fleet.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::messages::{Input, Inputs};
 use linenproxy::{EndpointId, Listing, Micros, Rest, Sharing, Status, Word};
+use linenproxy_fleet::census::Servers;
 use linenproxy_fleet::core::{Census, Listed};
 use linenproxy_fleet::evidence::Sign;
 use linenproxy_fleet::section::FleetSection;
@@ -83,6 +84,11 @@
         self.member.leave();
     }
 
+    /// What a steward may be told of the servers.
+    pub fn servers(&self) -> Servers {
+        self.member.servers()
+    }
+
     /// What on-call wants to see.
     pub fn census(&self) -> Census {
         self.member.census()
--- a/src/bin/tinflow/product.rs
+++ b/src/bin/tinflow/product.rs
@@ -155,9 +155,13 @@
             let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&log));
             let fleet = fleet.clone();
             async move {
-                if path == "/fleet" {
-                    let text = serde_json::to_string_pretty(&fleet?.census()).ok()?;
-                    return Some(Page { media: "application/json", text: text + "\n" });
+                let shown = match path.as_str() {
+                    "/fleet" => Some(serde_json::to_string_pretty(&fleet.as_ref()?.census())),
+                    "/fleet/servers" => Some(serde_json::to_string(&fleet.as_ref()?.servers())),
+                    _ => None,
+                };
+                if let Some(text) = shown {
+                    return Some(Page { media: "application/json", text: text.ok()? + "\n" });
                 }
                 if path != "/metrics" {
                     return None;
--- a/tests/product/fleet.rs
+++ b/tests/product/fleet.rs
@@ -43,6 +43,10 @@
         await_that("it is counted", || page(at, "/metrics").contains("tinflow_fleet_members 1"));
     }
     assert_eq!((ask(&first), ask(&second)), (200, 200));
+    await_that("a steward is told of the server that was served", || {
+        let told = page(pages[0], "/fleet/servers");
+        told.contains("\"member\":\"one\"") && told.contains("\"state\":\"well\"")
+    });
     assert_eq!(datagram_sockets(first.process.id()), 1);
     second.terminate();
     await_that("it has left", || page(pages[0], "/metrics").contains("tinflow_fleet_members 0"));
@@ -57,7 +61,9 @@
     let file = File::new(&metrics(at, "[fleet]\nenabled = false\n"));
     let (sidecar, _said) = start(&discovery, &endpoint, &file);
     assert_eq!(ask(&sidecar), 200);
-    assert!(page(at, "/fleet").starts_with("HTTP/1.1 404 "));
+    for path in ["/fleet", "/fleet/servers"] {
+        assert!(page(at, path).starts_with("HTTP/1.1 404 "), "{path}");
+    }
     assert!(!page(at, "/metrics").contains("fleet"));
     assert_eq!(datagram_sockets(sidecar.process.id()), 0);
 }
