--- a/crates/steward/tests/core/main.rs
+++ b/crates/steward/tests/core/main.rs
@@ -94,6 +94,8 @@
 fn sweep(seeds: std::ops::Range<u64>) {
     let mut sum = [0; 5];
     for seed in seeds {
+        // The one whose history fails is the last that was said.
+        eprintln!("seed {seed}");
         let world = history(seed);
         let taken = world.platform.taken.values().sum();
         let counts =
@@ -148,6 +150,7 @@
     world.net = CALM;
     world.seats.iter_mut().for_each(|seat| (seat.side, seat.stopped_until) = (0, 0));
     world.platform.all.iter_mut().for_each(|h| h.dead = None);
+    (0..size).for_each(|place| world.start(place, false));
     booked(&mut world, "last", &[0]);
     settled(&mut world, 1);
     world
