--- a/crates/steward/src/agreement/shelf.rs
+++ b/crates/steward/src/agreement/shelf.rs
@@ -8,6 +8,7 @@
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::util::limit_size;
 use raft::{GetEntriesContext, RaftState, Ready, Storage, StorageError};
+use std::time::Duration;
 
 const SELF: &str = "self";
 const LOG: &str = "log";
@@ -26,6 +27,7 @@
     snapshot: Snapshot,
     /// What follows the snapshot, without gaps.
     entries: Vec<Entry>,
+    delay: Duration,
 }
 
 impl Shelf {
@@ -48,6 +50,7 @@
             hard: HardState::default(),
             snapshot: Snapshot::default(),
             entries: Vec::new(),
+            delay: Duration::ZERO,
             store,
         };
         if let Some(bytes) = shelf.store.get(HARD, 0)? {
@@ -72,6 +75,19 @@
         Ok(shelf)
     }
 
+    /// The same on a disk that takes so much longer for each commit.
+    #[must_use]
+    pub fn slowed(self, delay: Duration) -> Self {
+        Self { delay, ..self }
+    }
+
+    fn commit(&self, changes: &[Change<'_>]) -> Result<(), Trouble> {
+        if !self.delay.is_zero() {
+            std::thread::sleep(self.delay);
+        }
+        self.store.commit(changes)
+    }
+
     /// Whether it holds no part of any agreement.
     #[must_use]
     pub fn is_blank(&self) -> bool {
@@ -140,7 +156,7 @@
         let (snapshot, hard) = (bytes(snapshot)?, bytes(&self.hard)?);
         let mut changes = more.to_vec();
         changes.extend([Change::Put(SNAPSHOT, 0, &snapshot), Change::Put(HARD, 0, &hard)]);
-        self.store.commit(&changes)
+        self.commit(&changes)
     }
 
     fn keep(
@@ -170,7 +186,7 @@
         changes.extend(puts);
         let hard = bytes(&self.hard)?;
         changes.push(Change::Put(HARD, 0, &hard));
-        self.store.commit(&changes)?;
+        self.commit(&changes)?;
         self.entries.extend_from_slice(entries);
         Ok(())
     }
--- a/crates/steward/src/clock.rs
+++ b/crates/steward/src/clock.rs
@@ -5,18 +5,22 @@
 
 /// Both clocks, read together.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock(Instant);
+pub struct Clock {
+    began: Instant,
+    /// By how much Unix time is taken to be off, in milliseconds.
+    offset_ms: i64,
+}
 
 impl Clock {
-    pub fn new() -> Self {
-        Self(Instant::now())
+    pub fn new(offset_ms: i64) -> Self {
+        Self { began: Instant::now(), offset_ms }
     }
 
     pub fn now(self) -> Now {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let mono = self.0.elapsed();
+        let mono = self.began.elapsed();
         Now {
-            unix_ms: i64::try_from(unix.as_millis()).unwrap_or(i64::MAX),
+            unix_ms: i64::try_from(unix.as_millis()).unwrap_or(i64::MAX).saturating_add(self.offset_ms),
             mono_ms: u64::try_from(mono.as_millis()).unwrap_or(u64::MAX),
         }
     }
--- a/crates/steward/src/config.rs
+++ b/crates/steward/src/config.rs
@@ -52,6 +52,16 @@
     /// How long one reader, caller or steward may take.
     #[serde(default = "timeout")]
     pub timeout: Time,
+    /// For experiments: by how much its clock is taken to be off, in milliseconds.
+    #[serde(default)]
+    pub clock_offset_ms: i64,
+    /// For experiments: how much longer each commit to its disk takes.
+    #[serde(default = "no_delay")]
+    pub disk_delay: Time,
+}
+
+fn no_delay() -> Time {
+    Time::ms(0)
 }
 
 fn listen() -> SocketAddr {
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -5,6 +5,7 @@
 mod bindings;
 mod calls;
 mod clock;
+mod commands;
 mod config;
 mod fetch;
 mod figures;
@@ -49,6 +50,8 @@
         #[arg(long)]
         check: bool,
     },
+    #[command(flatten)]
+    People(commands::Command),
 }
 
 fn main() -> ExitCode {
@@ -58,6 +61,7 @@
     };
     match (call.command, call.config) {
         (Some(Command::Run { config, check }), _) => steward(&config, check),
+        (Some(Command::People(command)), _) => commands::run(command).into(),
         (None, Some(config)) => steward(&config, false),
         (None, None) => Exit::Usage.into(),
     }
--- a/crates/steward/tests/core/world.rs
+++ b/crates/steward/tests/core/world.rs
@@ -134,6 +134,13 @@
         standing.filter(|s| s.voice).count()
     }
 
+    /// Whether all run, have a voice and know the same: one disk may be lost then, by the promise.
+    pub fn agreed(&self) -> bool {
+        let standing = self.seats.iter().filter_map(|s| s.steward.as_ref()).map(Steward::standing);
+        let applied: BTreeSet<u64> = standing.filter(|s| s.voice).map(|s| s.applied).collect();
+        self.voices() == self.seats.len() && applied.len() == 1
+    }
+
     pub fn leader(&self) -> Option<usize> {
         let acts = |s: &Seat| s.steward.as_ref().filter(|s| s.standing().acts).map(|s| s.standing().term);
         let leaders = self.seats.iter().enumerate().filter_map(|(n, s)| Some((acts(s)?, n)));
--- /dev/null
+++ b/crates/steward/tests/process/crew.rs
@@ -0,0 +1,184 @@
+//! Real stewards with a platform that lists one server, and what can be done to them. Changes with how they are started.
+
+use serde_json::{Value, json};
+use std::fs::{self, File, OpenOptions};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_linenproxy-steward");
+/// A machine under load takes its time; a verdict never rests on how long.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+pub struct Crew {
+    pub at: Vec<SocketAddr>,
+    folder: tempfile::TempDir,
+    running: Vec<Option<Child>>,
+}
+
+/// Waits for something that must come.
+pub fn wait_for(what: &str, mut come: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !come() {
+        assert!(Instant::now() < until, "{what}: not in {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// An hour from now, in milliseconds of Unix time.
+pub fn soon() -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+    (now.as_millis() + 3_600_000).to_string()
+}
+
+/// Asks once: status and content.
+pub fn exchange(at: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect(at).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: s\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all((head + body).as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, content) = text.split_once("\r\n\r\n")?;
+    Some((head.get(9..12)?.parse().ok()?, content.to_owned()))
+}
+
+/// A platform that lists one server.
+fn platform() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { continue };
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request);
+            let list = json!([{"name": "a0", "zone": "z", "group": "g", "weight": 10, "started_ms": 0,
+                "state": "serving"}])
+            .to_string();
+            let head =
+                format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n", list.len());
+            let _ = stream.write_all((head + &list).as_bytes());
+        }
+    });
+    at
+}
+
+/// A steward's file.
+pub fn text(folder: &Path, own: usize, at: &[SocketAddr], platform: u16) -> String {
+    let data = folder.join(format!("s{own}.data"));
+    let mut text = format!("[steward]\nname = \"s{own}\"\nlisten = \"{}\"\ndata = {data:?}\n\n", at[own]);
+    text += "[stewards]\n";
+    for (number, at) in at.iter().enumerate() {
+        text += &format!("s{number} = \"{at}\"\n");
+    }
+    text += &format!("\n[platform]\naddress = \"127.0.0.1:{platform}\"\n\n[evidence]\nperiod = \"100ms\"\n");
+    text + "\n[agreement]\nkeep = 10\nmost_away = 1\n"
+}
+
+impl Crew {
+    pub fn start(size: usize) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let ports: Vec<TcpListener> =
+            (0..size).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let at: Vec<SocketAddr> = ports.iter().map(|p| p.local_addr().expect("an address")).collect();
+        drop(ports);
+        let platform = platform().port();
+        for own in 0..size {
+            let file = folder.path().join(format!("s{own}.toml"));
+            fs::write(file, text(folder.path(), own, &at, platform)).expect("it is written");
+        }
+        let mut crew = Self { at, folder, running: (0..size).map(|_| None).collect() };
+        (0..size).for_each(|n| crew.run(n));
+        wait_for("all have a voice and one leads", || {
+            (0..size).all(|n| crew.status(n)["voters"].as_array().is_some_and(|all| all.len() == size))
+                && crew.leads().is_some_and(|n| crew.status(n)["looked"] == true)
+        });
+        crew
+    }
+
+    fn file(&self, steward: usize, kind: &str) -> PathBuf {
+        self.folder.path().join(format!("s{steward}.{kind}"))
+    }
+
+    pub fn run(&mut self, steward: usize) {
+        let log = OpenOptions::new().create(true).append(true).open(self.file(steward, "log"));
+        let mut command = Command::new(PROGRAM);
+        command.arg("--config").arg(self.file(steward, "toml")).stdin(Stdio::null()).stdout(Stdio::null());
+        command.stderr(log.expect("a log"));
+        self.running[steward] = Some(command.spawn().expect("it starts"));
+    }
+
+    pub fn status(&self, steward: usize) -> Value {
+        let content = exchange(self.at[steward], "GET", "/status", "").map(|(_, content)| content);
+        content.and_then(|text| serde_json::from_str(&text).ok()).unwrap_or(Value::Null)
+    }
+
+    pub fn leads(&self) -> Option<usize> {
+        (0..self.at.len()).find(|n| self.status(*n)["acts"] == true)
+    }
+
+    pub fn leader(&self) -> usize {
+        wait_for("one leads", || self.leads().is_some());
+        self.leads().expect("it still does")
+    }
+
+    pub fn said(&self, steward: usize) -> String {
+        fs::read_to_string(self.file(steward, "log")).unwrap_or_default()
+    }
+
+    pub fn kill(&mut self, steward: usize) {
+        if let Some(mut child) = self.running[steward].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Tells it to stop; whether it ended well.
+    pub fn stop(&mut self, steward: usize) -> bool {
+        let Some(mut child) = self.running[steward].take() else { return false };
+        let told = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
+        told.is_ok_and(|told| told.success()) && child.wait().is_ok_and(|ended| ended.code() == Some(0))
+    }
+
+    pub fn empty(&self, steward: usize) {
+        fs::remove_file(self.file(steward, "data")).expect("it is there");
+    }
+
+    pub fn tear(&self, steward: usize) {
+        let file = OpenOptions::new().write(true).open(self.file(steward, "data")).expect("it is there");
+        let length = file.metadata().expect("its length").len();
+        file.set_len(length / 2).expect("it is torn");
+    }
+
+    /// Puts something in the place of its file that no program can open as one, and back.
+    pub fn block(&self, steward: usize) {
+        fs::rename(self.file(steward, "data"), self.file(steward, "kept")).expect("it is moved");
+        fs::create_dir(self.file(steward, "data")).expect("a folder in its place");
+        File::create(self.file(steward, "data").join("x")).expect("which is not empty");
+    }
+
+    pub fn free(&self, steward: usize) {
+        fs::remove_dir_all(self.file(steward, "data")).expect("it is there");
+        fs::rename(self.file(steward, "kept"), self.file(steward, "data")).expect("it is moved");
+    }
+}
+
+impl Drop for Crew {
+    fn drop(&mut self) {
+        (0..self.running.len()).for_each(|n| self.kill(n));
+    }
+}
+
+/// Whether a window of a server that nobody lists is refused by the leader.
+pub fn refused(crew: &Crew, name: &str) -> bool {
+    let latest: i64 = soon().parse().expect("a number");
+    let ask = json!({"name": name, "target": {"servers": ["b"]}, "earliest_ms": 0, "latest_ms": latest,
+        "length_ms": 5});
+    let answer = exchange(crew.at[crew.leader()], "POST", "/windows", &ask.to_string());
+    answer.is_some_and(|(code, _)| code == 422)
+}
