Age evidence while it waits, hold a drained server idle for a while, and count no young process as warm

Found by the storm of faults: evidence that was weighed and then held up with the process (a stop, a slow disk) came into the agreement as young as before; a server was taken at the first look without requests while one was on its way; a process counted as warm as soon as members said so, below the operators' least age. Ages now grow until an entry is proposed, clear needs `[clear] quiet` (500 ms) of idle looks, warm needs both.

--- a/crates/steward/src/acts.rs
+++ b/crates/steward/src/acts.rs
@@ -65,7 +65,7 @@
     pub fn question(&self, order: Order<Unclear>) {
         let hands = self.clone();
         spawn_local(async move {
-            let mut clear = hands.looks.idle(&order.what.server).await;
+            let mut clear = hands.looks.idle(&order.what.server, order.what.epoch).await;
             if clear && hands.sections.clear.ask {
                 hands.left.borrow_mut().insert(order.what.server.clone(), order.what.clone());
                 clear = hands.looks.unbound(&order.what).await;
--- a/crates/steward/src/agreement/contract.rs
+++ b/crates/steward/src/agreement/contract.rs
@@ -101,6 +101,9 @@
     pub applied: u64,
     /// Names of those with a voice.
     pub voters: Vec<String>,
+    /// Names of all whose disks count or listen, one a disk: more than stewards, while one's new disk takes the place of
+    /// its old one.
+    pub members: Vec<String>,
     /// Whether this disk has a voice.
     pub voice: bool,
     /// Whether it holds no part of any agreement.
--- a/crates/steward/src/agreement/node.rs
+++ b/crates/steward/src/agreement/node.rs
@@ -200,6 +200,8 @@
         let name = |id: &u64| self.kept.members.get(id).cloned();
         let mut voters: Vec<String> = self.members_now.voters.iter().filter_map(name).collect();
         voters.sort();
+        let mut members: Vec<String> = self.kept.members.values().cloned().collect();
+        members.sort();
         Standing {
             id: raft.id,
             term: raft.term,
@@ -207,6 +209,7 @@
             acts: self.acts(),
             applied: self.applied,
             voters,
+            members,
             voice: self.members_now.voters.contains(&raft.id),
             blank: self.members_now.voters.is_empty(),
         }
--- a/crates/steward/src/commands.rs
+++ b/crates/steward/src/commands.rs
@@ -84,11 +84,14 @@
     at: At,
 }
 
+/// How an answer is shown: rows of cells.
+type Table = fn(&Value) -> Vec<Vec<String>>;
+
 /// Runs a command.
 pub fn run(command: Command) -> Exit {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let Ok(runtime) = runtime else { return Exit::Unavailable };
-    let (at, method, path, body, table): (At, _, String, _, fn(&Value) -> Vec<Vec<String>>) = match command {
+    let (at, method, path, body, table): (At, _, String, _, Table) = match command {
         Command::Status(at) => (at, "GET", "/status".into(), None, status),
         Command::Members(at) => (at, "GET", "/status".into(), None, members),
         Command::Windows(at) => (at, "GET", "/windows".into(), None, windows),
--- a/crates/steward/src/config.rs
+++ b/crates/steward/src/config.rs
@@ -122,7 +122,7 @@
     pub agree: usize,
     /// How long one may take to answer.
     pub timeout: Time,
-    /// Age from which a process counts as warm where sidecars don't say so; the skew of clocks included.
+    /// Age from which a process counts as warm, unless sidecars say that it is not; the skew of clocks included.
     pub warm_after: Time,
 }
 
@@ -140,11 +140,20 @@
 }
 
 /// Whether sidecars' bindings must be clear before a server is taken.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ClearSection {
     /// Whether sidecars are asked: they keep bindings.
     pub ask: bool,
+    /// For how long nothing must have run at a drained server.
+    pub quiet: Time,
+}
+
+impl Default for ClearSection {
+    fn default() -> Self {
+        // As long as a request may be on its way on a slow network, its connection included.
+        Self { ask: false, quiet: Time::ms(500) }
+    }
 }
 
 /// Most stewards: five bear two failures, more only make each agreement slower.
@@ -199,6 +208,9 @@
                 format!("of more than {most} asked, two camps could be as large"),
             );
         }
+        if self.clear.quiet > Time::ms(60_000) {
+            return wrong("clear.quiet", "must be at most 1m".to_owned());
+        }
         let period = i64::try_from(self.evidence.period.0.as_millis()).unwrap_or(i64::MAX);
         if period >= self.agreement.evidence_bound_ms {
             let bound = self.agreement.evidence_bound_ms;
--- a/crates/steward/src/core/contract.rs
+++ b/crates/steward/src/core/contract.rs
@@ -43,8 +43,9 @@
     Admit(u64, u64, String),
     /// What the platform lists.
     Listed(Vec<Server>),
-    /// A round of looks at the fleet is over: what it came to, aged to now.
-    Evidence(Vec<Word>),
+    /// A round of looks at the fleet is over: what it came to, with ages at this moment of the monotonic clock. What
+    /// waits, or is held up with the process, grows older meanwhile.
+    Evidence(u64, Vec<Word>),
     /// What an act came to; none if nothing was answered.
     Acted(Act, Option<Answer>),
     /// Whether a server is clear.
--- a/crates/steward/src/core/steward.rs
+++ b/crates/steward/src/core/steward.rs
@@ -70,7 +70,11 @@
                 self.output.replies.push((caller, reply));
             }
             Input::Listed(list) => self.listed(now, list),
-            Input::Evidence(words) => self.own(now, Own::Evidence, &Event::Evidence(words)),
+            Input::Evidence(at_ms, mut words) => {
+                let waited_ms = now.mono_ms.saturating_sub(at_ms);
+                words.iter_mut().for_each(|word| word.age_ms = word.age_ms.saturating_add(waited_ms));
+                self.own(now, Own::Evidence, &Event::Evidence(words));
+            }
             Input::Acted(act, answer) => self.acted(now, act, answer),
             Input::Cleared(question, clear) => self.cleared(now, question, clear),
             Input::StepDown => {
--- a/crates/steward/src/evidence.rs
+++ b/crates/steward/src/evidence.rs
@@ -59,7 +59,8 @@
 pub struct Weights {
     /// Members of each zone that must say the same.
     pub agree: BTreeMap<String, usize>,
-    /// From this age on a process counts as warm where nobody says whether it is, in milliseconds.
+    /// No process counts as warm before this age, in milliseconds; from it on one does unless members say that it is
+    /// not.
     pub warm_after_ms: i64,
 }
 
@@ -137,10 +138,8 @@
     let mut ages: Vec<u64> = camp.iter().map(age).collect();
     ages.sort_unstable();
     let told: Vec<bool> = camp.iter().filter_map(|(one, _)| one.warm).collect();
-    let warm = match told.is_empty() {
-        true => started_ms <= 0 || unix_ms.saturating_sub(started_ms) >= weights.warm_after_ms,
-        false => told.iter().filter(|warm| **warm).count() >= least,
-    };
+    let old = started_ms <= 0 || unix_ms.saturating_sub(started_ms) >= weights.warm_after_ms;
+    let warm = old && (told.is_empty() || told.iter().filter(|warm| **warm).count() >= least);
     Some(Opinion {
         state,
         started: u64::try_from(started_ms).unwrap_or(0),
--- a/crates/steward/src/looks.rs
+++ b/crates/steward/src/looks.rs
@@ -11,6 +11,7 @@
 use linenproxy_steward::evidence::{Heard, Page, Weights, weigh};
 use serde::{Deserialize, Deserializer};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -52,6 +53,8 @@
     list: RefCell<Option<(Instant, Vec<Listed>)>>,
     /// The platform's last failure, so that it is written once.
     failure: RefCell<String>,
+    /// Since when a draining server was seen idle, for the drain with that token.
+    idle: RefCell<BTreeMap<String, (u64, Instant)>>,
     /// Sidecars that answered in the last round, and that were asked.
     pub answered: Cell<(usize, usize)>,
 }
@@ -70,6 +73,7 @@
             calls,
             list: RefCell::default(),
             failure: RefCell::default(),
+            idle: RefCell::default(),
             answered: Cell::default(),
         })
     }
@@ -104,8 +108,14 @@
         let agree = evidence.sidecars.iter();
         let agree = agree.map(|(zone, all)| (zone.clone(), evidence.agree.min(all.len()))).collect();
         let warm_after_ms = i64::try_from(evidence.warm_after.0.as_millis()).unwrap_or(i64::MAX);
-        let words = weigh(&Weights { agree, warm_after_ms }, self.clock.now().unix_ms, &servers, &heard);
-        self.calls.tell(Input::Evidence(words));
+        // Before the ages are read: a process that is held up in between makes them older, not younger.
+        let now = self.clock.now();
+        let heard: Vec<Heard> = heard
+            .into_iter()
+            .map(|(zone, begun, page)| Heard { zone, asked_ago_ms: now.mono_ms.saturating_sub(begun), page })
+            .collect();
+        let words = weigh(&Weights { agree, warm_after_ms }, now.unix_ms, &servers, &heard);
+        self.calls.tell(Input::Evidence(now.mono_ms, words));
     }
 
     fn known(&self) -> Vec<Server> {
@@ -144,11 +154,25 @@
         list
     }
 
-    /// Whether nothing runs at a server that drains, by the platform's word of after the drain.
-    pub async fn idle(&self, name: &str) -> bool {
+    /// Whether nothing ran at a server that drains in all looks of `[clear] quiet`, by the platform's word of after
+    /// the drain: a request may have been on its way to it in one of them.
+    pub async fn idle(&self, name: &str, epoch: u64) -> bool {
         let Ok(list) = self.listed(FRESH).await else { return false };
         let server = list.iter().find(|server| server.name == name);
-        server.is_some_and(|s| s.state == "draining" && s.in_flight.is_none_or(|count| count == Some(0)))
+        let free = |s: &Listed| s.state == "draining" && s.in_flight.is_none_or(|count| count == Some(0));
+        let mut idle = self.idle.borrow_mut();
+        // What is not listed any more is nobody's question.
+        idle.retain(|name, _| list.iter().any(|server| server.name == *name));
+        if !server.is_some_and(free) {
+            idle.remove(name);
+            return false;
+        }
+        let now = (epoch, Instant::now());
+        let since = idle.entry(name.to_owned()).or_insert(now);
+        if since.0 != epoch {
+            *since = now;
+        }
+        since.1.elapsed() >= self.sections.clear.quiet.0
     }
 
     /// Addresses of so many sidecars of each zone, drawn anew.
@@ -168,16 +192,17 @@
         &self.sections.evidence
     }
 
-    async fn pages(&self) -> Vec<Heard> {
+    /// Pages with their zone and the moment at which they were asked for.
+    async fn pages(&self) -> Vec<(String, u64, Page)> {
         let (within, bound) = (self.sections.evidence.timeout.0, Rc::new(Semaphore::new(AT_ONCE)));
         let mut asking = JoinSet::new();
         let drawn = self.draw();
         let asked = drawn.len();
         for (zone, at) in drawn {
-            let bound = Rc::clone(&bound);
+            let (bound, clock) = (Rc::clone(&bound), self.clock);
             asking.spawn_local(async move {
                 let _permit = bound.acquire().await;
-                let begun = Instant::now();
+                let begun = clock.now().mono_ms;
                 let (status, page) = fetch(at, "GET", "/fleet/servers", None, within).await.ok()?;
                 let page: Page = serde_json::from_value(page).ok().filter(|_| status == 200)?;
                 Some((zone, begun, page))
@@ -188,9 +213,7 @@
             pages.extend(page.ok().flatten());
         }
         self.answered.set((pages.len(), asked));
-        let ago = |begun: Instant| u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let heard = |(zone, begun, page)| Heard { zone, asked_ago_ms: ago(begun), page };
-        pages.into_iter().map(heard).collect()
+        pages
     }
 }
 
--- a/crates/steward/src/pages.rs
+++ b/crates/steward/src/pages.rs
@@ -134,6 +134,7 @@
             status["voice"] = json!(standing.voice);
             status["blank"] = json!(standing.blank);
             status["voters"] = json!(standing.voters);
+            status["members"] = json!(standing.members);
             status["applied"] = json!(standing.applied);
             status["servers"] = json!(view.servers);
             status["token"] = json!(view.token);
--- a/crates/steward/tests/core/world.rs
+++ b/crates/steward/tests/core/world.rs
@@ -136,9 +136,12 @@
 
     /// Whether all run, have a voice and know the same: one disk may be lost then, by the promise.
     pub fn agreed(&self) -> bool {
+        let size = self.seats.len();
         let standing = self.seats.iter().filter_map(|s| s.steward.as_ref()).map(Steward::standing);
-        let applied: BTreeSet<u64> = standing.filter(|s| s.voice).map(|s| s.applied).collect();
-        self.voices() == self.seats.len() && applied.len() == 1
+        // While an old disk still counts beside its new one, the loss of another is one too many.
+        let whole = standing.filter(|s| s.voice && s.members.len() == size);
+        let applied: Vec<u64> = whole.map(|s| s.applied).collect();
+        applied.len() == size && applied.iter().all(|one| *one == applied[0])
     }
 
     pub fn leader(&self) -> Option<usize> {
@@ -192,7 +195,7 @@
                 if self.now.is_multiple_of(ROUND) && !self.lost() {
                     let (list, words) = (self.platform.list(), self.platform.words());
                     self.give(place, Input::Listed(list));
-                    self.give(place, Input::Evidence(words));
+                    self.give(place, Input::Evidence(self.now * TICK_MS, words));
                 }
             }
             if !standing.voice && self.now.is_multiple_of(3) {
