Add duties: leases with tokens that one process holds at a time, no two clocks compared

Need: work that must be done once for the fleet (a prober, a parter of limits, a release's driver) needs one holder, and safety that rests on no timer alone. The crate is pure and stands below sidecar and steward, as either may hold a duty: the machine over an agreed order of events, the leader's watch, the holder's side, the gate at what is acted on. A lease ends by an agreed event that counts only where its holder was not heard since; the holder counts from before its word left.

Found on the way: an answer on its way brought back a duty that had been given away; with three askings lost in a row a duty lapsed, so a word without an answer is said again sooner.

--- /dev/null
+++ b/crates/duties/src/model.rs
@@ -0,0 +1,274 @@
+//! Changes with what the exhaustive model explores: two who want one duty, leaders that come and go, and a soup of words
+//! each of which may arrive at any time, any number of times, or never.
+
+mod explore;
+
+use crate::{Claimant, Duties, Event, Gate, Holder, Outcome, Refusal, Terms, Watch, Word};
+use stateright::{Model, Property};
+use std::collections::BTreeSet;
+
+const NAMES: [&str; 2] = ["a", "b"];
+const DUTY: &str = "d";
+/// A lease, in milliseconds, and how much time passes in a step.
+const LEASE_MS: u64 = 300;
+const STEP_MS: u64 = 100;
+/// A third of a lease: one step that a holder's clock may fall behind.
+const RATE_PERMILLE: u64 = 334;
+
+/// Rules that a run may leave out, to see that it would find what they are for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Planted {
+    /// What is acted on checks no token.
+    pub(super) no_gate: bool,
+    /// Those who agree forget their last event in a crash, as where votes are not kept.
+    pub(super) forgets: bool,
+    /// A new leader takes the last one's word for how long somebody was silent.
+    pub(super) no_wait: bool,
+    /// A holder counts its lease from the answer, not from its word.
+    pub(super) from_answer: bool,
+}
+
+/// What may happen.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Scope {
+    /// It begins with the duty held by the first, while the second waits.
+    held: bool,
+    /// The first has heard that it holds the duty.
+    heard: bool,
+    /// A word, answer or act arrives at most once.
+    once: bool,
+    /// Processes crash, are stopped, have slow clocks.
+    troubles: bool,
+}
+
+impl Scope {
+    pub(super) const ALL: Scope = Scope { held: false, heard: false, once: false, troubles: true };
+    pub(super) const HELD: Scope = Scope { held: true, heard: true, once: false, troubles: true };
+    /// Enough to see a planted fault far from the beginning.
+    pub(super) const NARROW: Scope = Scope { held: true, heard: true, once: true, troubles: false };
+    pub(super) const UNHEARD: Scope = Scope { heard: false, ..Scope::NARROW };
+    pub(super) const EARLY: Scope = Scope { held: false, ..Scope::UNHEARD };
+}
+
+struct Lease(Planted, Scope);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Moment {
+    duties: Duties,
+    /// What a crash of those who agree goes back to, where they forget.
+    last: Option<Duties>,
+    watch: Watch,
+    now: u64,
+    /// Steps by which each holder's clock is behind, and whether it is stopped.
+    behind: [u64; 2],
+    stopped: [bool; 2],
+    holders: [Holder; 2],
+    lives: [u64; 2],
+    /// Who said it in which life, its number.
+    words: BTreeSet<(usize, u64, u64, Event)>,
+    answers: BTreeSet<(usize, u64, Outcome)>,
+    /// Acts on their way: token and who.
+    acts: BTreeSet<(u64, usize)>,
+    gate: Gate,
+    /// The highest token by which something was done, and by whom.
+    done: (u64, usize),
+    /// Something was done by an older token than before, or by one token of two processes.
+    broken: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Move {
+    Pass,
+    /// Time passes, and this one's clock does not see it.
+    PassSlow(usize),
+    Beat(usize),
+    Stop(usize),
+    Crash(usize),
+    GiveBack(usize),
+    Act(usize),
+    Word(usize, u64, u64, Event),
+    Answer(usize, u64, Outcome),
+    Effect(u64, usize),
+    Watch,
+    NewLeader,
+    Forget,
+}
+
+fn claimant(who: usize, life: u64) -> Claimant {
+    let (name, zone) = (NAMES[who].to_owned(), String::new());
+    Claimant { name, life, zone, rank: 0, lease_ms: LEASE_MS }
+}
+
+fn holder(who: usize, life: u64) -> Holder {
+    // A stop ends a holder's right in the model only by its clock and the gate, so that these are what is tried.
+    Holder::new(DUTY, claimant(who, life), Terms { rate_permille: RATE_PERMILLE, pause_ms: 100 * LEASE_MS })
+}
+
+impl Moment {
+    fn clock(&self, who: usize) -> u64 {
+        self.now - self.behind[who] * STEP_MS
+    }
+
+    fn may_act(&self, who: usize) -> Option<u64> {
+        let right = self.holders[who].may_act(self.clock(who)).filter(|_| !self.stopped[who])?;
+        Some(right.token)
+    }
+
+    fn agree(&mut self, planted: Planted, event: Event) -> Outcome {
+        self.last = planted.forgets.then(|| self.duties.clone());
+        self.duties.apply(event)
+    }
+}
+
+impl Model for Lease {
+    type State = Moment;
+    type Action = Move;
+
+    fn init_states(&self) -> Vec<Moment> {
+        let mut moment = Moment {
+            duties: Duties::default(),
+            last: None,
+            watch: Watch::default(),
+            now: STEP_MS,
+            behind: [0; 2],
+            stopped: [false; 2],
+            holders: [holder(0, 1), holder(1, 1)],
+            lives: [1; 2],
+            words: BTreeSet::new(),
+            answers: BTreeSet::new(),
+            acts: BTreeSet::new(),
+            gate: Gate::default(),
+            done: (0, 0),
+            broken: false,
+        };
+        for who in (0..2).filter(|_| self.1.held) {
+            if let Some(Word { number, event }) = moment.holders[who].beat(moment.now) {
+                let outcome = moment.agree(self.0, event);
+                if self.1.heard {
+                    moment.holders[who].heard(moment.now, number, &outcome);
+                } else {
+                    moment.answers.insert((who, number, outcome));
+                }
+            }
+        }
+        if self.1.held {
+            moment.watch.due(moment.now, &moment.duties, 0);
+        }
+        vec![moment]
+    }
+
+    fn actions(&self, moment: &Moment, actions: &mut Vec<Move>) {
+        actions.extend([Move::Pass, Move::Watch, Move::NewLeader]);
+        for who in 0..2 {
+            if self.1.troubles && moment.behind[who] == 0 {
+                actions.push(Move::PassSlow(who));
+            }
+            if !moment.stopped[who] {
+                actions.extend([Move::Beat(who), Move::GiveBack(who)]);
+            }
+            if self.1.troubles {
+                actions.extend([Move::Stop(who), Move::Crash(who)]);
+            }
+            if moment.may_act(who).is_some() {
+                actions.push(Move::Act(who));
+            }
+        }
+        actions.extend(
+            moment
+                .words
+                .iter()
+                .cloned()
+                .map(|(who, life, number, event)| Move::Word(who, life, number, event)),
+        );
+        let heard = moment.answers.iter().filter(|(who, ..)| !moment.stopped[*who]).cloned();
+        actions.extend(heard.map(|(who, number, outcome)| Move::Answer(who, number, outcome)));
+        actions.extend(moment.acts.iter().map(|(token, who)| Move::Effect(*token, *who)));
+        if self.0.forgets {
+            actions.push(Move::Forget);
+        }
+    }
+
+    fn next_state(&self, before: &Moment, action: Move) -> Option<Moment> {
+        let mut moment = before.clone();
+        match action {
+            Move::Pass => moment.now += STEP_MS,
+            Move::PassSlow(who) => {
+                moment.now += STEP_MS;
+                moment.behind[who] += 1;
+            }
+            Move::Beat(who) => {
+                let Word { number, event } = moment.holders[who].beat(before.clock(who))?;
+                moment.words.insert((who, before.lives[who], number, event));
+            }
+            Move::Stop(who) => moment.stopped[who] = !moment.stopped[who],
+            Move::Crash(who) => {
+                moment.lives[who] += 1;
+                moment.holders[who] = holder(who, moment.lives[who]);
+                moment.stopped[who] = false;
+                // The answers of the last life find nobody.
+                moment.answers.retain(|(to, ..)| *to != who);
+            }
+            Move::GiveBack(who) => moment.holders[who].give_back(before.clock(who), None, true),
+            Move::Act(who) => {
+                moment.acts.insert((before.may_act(who)?, who));
+            }
+            Move::Word(who, life, number, event) => {
+                if self.1.once {
+                    moment.words.remove(&(who, life, number, event.clone()));
+                }
+                let outcome = moment.agree(self.0, event);
+                if life == moment.lives[who] {
+                    moment.answers.insert((who, number, outcome));
+                }
+            }
+            Move::Answer(who, number, outcome) => {
+                let now = before.clock(who);
+                if self.0.from_answer && matches!(outcome, Outcome::Granted { .. }) {
+                    // As if its word had been sent only now.
+                    moment.holders[who].sent_now(now, number);
+                }
+                moment.holders[who].heard(now, number, &outcome);
+                if self.1.once {
+                    moment.answers.remove(&(who, number, outcome));
+                }
+            }
+            Move::Effect(token, who) => {
+                moment.acts.remove(&(token, who));
+                if self.0.no_gate || moment.gate.pass(DUTY, token, 1).is_ok() {
+                    moment.broken |=
+                        token < moment.done.0 || (token == moment.done.0 && who != moment.done.1);
+                    moment.done = moment.done.max((token, who));
+                }
+            }
+            Move::Watch => {
+                let now = if self.0.no_wait { u64::MAX } else { moment.now };
+                for event in moment.watch.due(now, &before.duties, 1) {
+                    moment.agree(self.0, event);
+                }
+                if self.0.no_wait {
+                    moment.watch = Watch::default();
+                    moment.watch.due(0, &moment.duties, 0);
+                }
+            }
+            Move::NewLeader => moment.watch = Watch::default(),
+            Move::Forget => moment.duties = moment.last.take()?,
+        }
+        (moment != *before).then_some(moment)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("one holder", |_, m: &Moment| m.may_act(0).is_none() || m.may_act(1).is_none()),
+            Property::always("in order", |_, m: &Moment| !m.broken),
+            Property::always("tokens grow", |_, m: &Moment| {
+                m.gate.seen(DUTY).is_none_or(|seen| seen >= m.done.0)
+            }),
+            Property::sometimes("taken again", |_, m: &Moment| m.done.0 >= 2),
+            Property::sometimes("refused", |_, m: &Moment| {
+                let refused =
+                    |(.., outcome): &(usize, u64, Outcome)| *outcome == Outcome::Refused(Refusal::NotYours);
+                m.answers.iter().any(refused)
+            }),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/duties/src/watch.rs
@@ -0,0 +1,56 @@
+//! Changes with when the leader holds somebody for gone.
+
+use crate::event::Event;
+use crate::machine::Duties;
+use std::collections::BTreeMap;
+
+/// What a leader keeps in mind of when it saw whom, by its own monotonic clock. It is made at the start of each
+/// leadership and dropped at its end: nobody is held for gone who was not silent for a whole lease before this
+/// leader's own eyes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Watch {
+    /// Holders by duty: token, renewals, since when those stand.
+    held: BTreeMap<String, (u64, u64, u64)>,
+    /// Those who wait, by duty and name: life, asks, since when those stand.
+    waiting: BTreeMap<(String, String), (u64, u64, u64)>,
+}
+
+impl Watch {
+    /// Events that the leader should propose, of which each says itself what it rests on: the order in which events are
+    /// agreed on decides whether it still holds. At most `most` of them, holders first.
+    pub fn due(&mut self, now_ms: u64, duties: &Duties, most: usize) -> Vec<Event> {
+        let mut due = Vec::new();
+        self.held.retain(|name, _| duties.duties().get(name).is_some_and(|duty| duty.held.is_some()));
+        self.waiting.retain(|(name, who), _| {
+            duties.duties().get(name).is_some_and(|duty| duty.waiting.iter().any(|w| &w.by.name == who))
+        });
+        for (name, duty) in duties.duties() {
+            if let Some(held) = &duty.held {
+                let seen = (held.token, held.renewals);
+                if silent(&mut self.held, name.clone(), seen, now_ms) >= held.by.lease_ms {
+                    let (token, renewals) = seen;
+                    due.push(Event::Lapse { duty: name.clone(), token, renewals });
+                }
+            }
+        }
+        for (name, duty) in duties.duties() {
+            for w in &duty.waiting {
+                let key = (name.clone(), w.by.name.clone());
+                if silent(&mut self.waiting, key, (w.by.life, w.asks), now_ms) >= w.by.lease_ms {
+                    due.push(Event::Forget { duty: name.clone(), name: w.by.name.clone(), asks: w.asks });
+                }
+            }
+        }
+        due.truncate(most);
+        due
+    }
+}
+
+/// For how long `seen` has stood.
+fn silent<K: Ord>(all: &mut BTreeMap<K, (u64, u64, u64)>, key: K, seen: (u64, u64), now_ms: u64) -> u64 {
+    let entry = all.entry(key).or_insert((seen.0, seen.1, now_ms));
+    if (entry.0, entry.1) != seen {
+        *entry = (seen.0, seen.1, now_ms);
+    }
+    now_ms.saturating_sub(entry.2)
+}
