--- a/crates/duties/src/model.rs
+++ b/crates/duties/src/model.rs
@@ -2,8 +2,10 @@
 //! each of which may arrive at any time, any number of times, or never.
 
 mod explore;
+mod scope;
 
 use crate::{Claimant, Duties, Event, Gate, Holder, Outcome, Refusal, Terms, Watch, Word};
+use scope::{Planted, Scope};
 use stateright::{Model, Property};
 use std::collections::BTreeSet;
 
@@ -15,41 +17,6 @@
 /// A third of a lease: one step that a holder's clock may fall behind.
 const RATE_PERMILLE: u64 = 334;
 
-/// Rules that a run may leave out, to see that it would find what they are for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct Planted {
-    /// What is acted on checks no token.
-    pub(super) no_gate: bool,
-    /// Those who agree forget their last event in a crash, as where votes are not kept.
-    pub(super) forgets: bool,
-    /// A new leader takes the last one's word for how long somebody was silent.
-    pub(super) no_wait: bool,
-    /// A holder counts its lease from the answer, not from its word.
-    pub(super) from_answer: bool,
-}
-
-/// What may happen.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Scope {
-    /// It begins with the duty held by the first, while the second waits.
-    held: bool,
-    /// The first has heard that it holds the duty.
-    heard: bool,
-    /// A word, answer or act arrives at most once.
-    once: bool,
-    /// Processes crash, are stopped, have slow clocks.
-    troubles: bool,
-}
-
-impl Scope {
-    pub(super) const ALL: Scope = Scope { held: false, heard: false, once: false, troubles: true };
-    pub(super) const HELD: Scope = Scope { held: true, heard: true, once: false, troubles: true };
-    /// Enough to see a planted fault far from the beginning.
-    pub(super) const NARROW: Scope = Scope { held: true, heard: true, once: true, troubles: false };
-    pub(super) const UNHEARD: Scope = Scope { heard: false, ..Scope::NARROW };
-    pub(super) const EARLY: Scope = Scope { held: false, ..Scope::UNHEARD };
-}
-
 struct Lease(Planted, Scope);
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- /dev/null
+++ b/crates/duties/src/model/scope.rs
@@ -0,0 +1,36 @@
+//! Changes with what the model leaves out, of rules and of troubles.
+
+/// Rules that a run may leave out, to see that it would find what they are for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Planted {
+    /// What is acted on checks no token.
+    pub(super) no_gate: bool,
+    /// Those who agree forget their last event in a crash, as where votes are not kept.
+    pub(super) forgets: bool,
+    /// A new leader takes the last one's word for how long somebody was silent.
+    pub(super) no_wait: bool,
+    /// A holder counts its lease from the answer, not from its word.
+    pub(super) from_answer: bool,
+}
+
+/// What may happen.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Scope {
+    /// It begins with the duty held by the first, while the second waits.
+    pub(super) held: bool,
+    /// The first has heard that it holds the duty.
+    pub(super) heard: bool,
+    /// A word, answer or act arrives at most once.
+    pub(super) once: bool,
+    /// Processes crash, are stopped, have slow clocks.
+    pub(super) troubles: bool,
+}
+
+impl Scope {
+    pub(in crate::model) const ALL: Scope = Scope { held: false, heard: false, once: false, troubles: true };
+    pub(in crate::model) const HELD: Scope = Scope { held: true, heard: true, once: false, troubles: true };
+    /// Enough to see a planted fault far from the beginning.
+    pub(in crate::model) const NARROW: Scope = Scope { held: true, heard: true, once: true, troubles: false };
+    pub(in crate::model) const UNHEARD: Scope = Scope { heard: false, ..Scope::NARROW };
+    pub(in crate::model) const EARLY: Scope = Scope { held: false, ..Scope::UNHEARD };
+}
--- a/crates/duties/tests/world/mod.rs
+++ b/crates/duties/tests/world/mod.rs
@@ -195,10 +195,10 @@
             {
                 self.processes[who].holders[duty].give_back(now, Some(&heir), true);
             }
-            if let Some(right) = self.processes[who].holders[duty].may_act(now) {
-                if self.rng.u8(0..8) == 0 {
-                    self.send(|| Wire::Act { from: (who, life), duty, token: right.token }, true);
-                }
+            if let Some(right) = self.processes[who].holders[duty].may_act(now)
+                && self.rng.u8(0..8) == 0
+            {
+                self.send(|| Wire::Act { from: (who, life), duty, token: right.token }, true);
             }
         }
     }
