--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -29,10 +29,15 @@
         self.answers.add(now, f64::from(answered), window);
     }
 
+    /// Time taken and answers had of late, in usual times.
+    pub fn seen(&self, now: Micros, window: Micros) -> [f64; 2] {
+        [&self.time, &self.answers].map(|sum| USUAL_ANSWERS + sum.now(now, window))
+    }
+
     /// Brings the pace up to date, with what is out counted anew until the next time.
     pub fn reckon(&mut self, now: Micros, window: Micros) {
-        let [time, answers] = [&self.time, &self.answers].map(|sum| sum.now(now, window));
-        self.pace = (USUAL_ANSWERS + time + std::mem::take(&mut self.out)) / (USUAL_ANSWERS + answers);
+        let [time, answers] = self.seen(now, window);
+        self.pace = (time + std::mem::take(&mut self.out)) / answers;
     }
 }
 
