--- a/src/choice/pace.rs
+++ b/src/choice/pace.rs
@@ -30,8 +30,8 @@
     pub(crate) fn pace_groups(&mut self, now: Micros) {
         let (calm, window) = (self.calm(), self.set.longest_aim());
         let Fleet { groups, kinds, slow, crowd, .. } = &mut self.fleet;
-        let [time, answers] = crowd.seen(now, window);
-        let far = STRETCH * time / answers;
+        crowd.reckon(now, window);
+        let far = STRETCH * crowd.pace;
         for e in self.endpoints.iter().filter(|e| !e.flights.is_empty()) {
             let usual = kinds.get(&e.kind).map_or(*slow, |k| k.0);
             let so_far = |f: &Flight| now.saturating_sub(f.sent) as f64 / (f.work * usual).max(1.0);
--- a/tests/crowd.rs
+++ b/tests/failures/shedding.rs
@@ -1,8 +1,6 @@
-//! When requests are turned away for a crowd, and when not. Changes with what passes for a crowd.
+//! What is shed once answers come late or slowly.
 
-mod common;
-
-use common::*;
+use crate::common::*;
 use linenproxy::*;
 
 /// Sends of so many requests, each answered after `time`.
