--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -82,7 +82,8 @@
     processes: HashMap<usize, Process>,
     ready: usize,
     table: Table,
-    sick_by: HashMap<u64, usize>,
+    /// When all of which anything is known is looked at again.
+    next_sweep: Micros,
     own: HashMap<Process, Own>,
     tokens: Tokens,
     answers: Tokens,
@@ -149,7 +150,7 @@
             processes: HashMap::new(),
             ready: 0,
             table: Table::default(),
-            sick_by: HashMap::new(),
+            next_sweep: now,
             own: HashMap::new(),
             tokens: Tokens::new(now, OWN_BURST),
             answers: Tokens::new(now, ANSWER_RATE),
--- a/crates/fleet/src/core/judge.rs
+++ b/crates/fleet/src/core/judge.rs
@@ -1,12 +1,12 @@
 //! Verdicts of this member: which endpoints rest, and which it may try. Changes with when they are looked at anew.
 
 use super::{Core, DOUBTED, DOUBTED_LEAST};
-use crate::Micros;
 use crate::effects::Word;
-use crate::evidence::{Datum, Process, Sign};
+use crate::evidence::{Datum, Process};
 use crate::standing::Trials;
 use crate::trial::{Slot, chosen, slot};
 use crate::verdict::{Rest, Weighed, weigh};
+use crate::{Micros, SECOND};
 
 /// An endpoint that rests by others' word.
 pub(super) struct Resting {
@@ -23,7 +23,7 @@
 impl Core {
     pub(super) fn weighed(&self, now: Micros, process: Process, rests: Option<&[u64]>) -> Weighed {
         let doubted = |origin: u64| {
-            let sick = self.sick_by.get(&origin).copied().unwrap_or(0);
+            let sick = self.table.sick_by(origin);
             sick >= DOUBTED_LEAST && sick as f64 > DOUBTED * self.ready as f64
         };
         let counts = |d: &Datum| {
@@ -93,19 +93,18 @@
         }
     }
 
-    /// Looks at all of which something is known.
+    /// Looks at all that rest, as their trials have their times; and, once a second, at all of which something is known:
+    /// what is new was looked at when it came, and age alone only ends what rests.
     pub(super) fn look_at_all(&mut self, now: Micros) {
-        self.table.drop_before(now - self.weights.bound);
-        self.sick_by.clear();
-        for process in self.table.processes().collect::<Vec<_>>() {
-            for datum in self.table.of(process).flat_map(|(_, data)| data).filter(|d| d.sign == Sign::Sick) {
-                *self.sick_by.entry(datum.origin).or_default() += 1;
-            }
-        }
         let mut looked: Vec<usize> = self.resting.keys().copied().collect();
-        looked.extend(self.table.processes().filter_map(|p| self.listed.get(&p.name)).map(|l| l.endpoint));
-        looked.sort_unstable();
-        looked.dedup();
+        if now >= self.next_sweep {
+            self.next_sweep = now + SECOND;
+            self.table.drop_before(now - self.weights.bound);
+            looked
+                .extend(self.table.processes().filter_map(|p| self.listed.get(&p.name)).map(|l| l.endpoint));
+            looked.sort_unstable();
+            looked.dedup();
+        }
         for endpoint in looked {
             self.look(now, endpoint);
         }
--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -7,52 +7,8 @@
 //! Shapiro et al., "Conflict-free Replicated Data Types", SSS 2011, section 2.3).
 
 use crate::Micros;
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-
-/// An endpoint process: the hash of its name and the start of its process, 0 where that is long ago.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Process {
-    /// Hash of its name.
-    pub name: u64,
-    /// When it started.
-    pub started: Micros,
-}
-
-/// What one member saw of an endpoint last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Sign {
-    /// It failed: an error, silence, no connection, a connection that broke.
-    Sick,
-    /// It served.
-    Well,
-}
-
-/// Evidence of one member on one endpoint process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Datum {
-    /// Hash of the name of who saw it.
-    pub origin: u64,
-    /// Its life.
-    pub incarnation: u64,
-    /// Grows with each datum of that life.
-    pub sequence: u64,
-    /// Hash of its zone.
-    pub zone: u64,
-    /// When it was seen, by its clock.
-    pub seen: Micros,
-    /// Of what.
-    pub process: Process,
-    /// What.
-    pub sign: Sign,
-}
-
-impl Datum {
-    /// The order in which data of one table stand: the newest last.
-    fn rank(&self) -> (Micros, u64, u64, u64) {
-        (self.seen, self.origin, self.incarnation, self.sequence)
-    }
-}
+pub use crate::datum::{Datum, Process, Sign};
+use std::collections::{BTreeMap, HashMap};
 
 /// Data kept for each endpoint process and zone: twice the witnesses that a verdict needs by default.
 pub const KEPT: usize = 6;
@@ -78,6 +34,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Table {
     of: BTreeMap<(Process, u64), Vec<Datum>>,
+    /// How many processes and zones each origin finds sick.
+    sick_by: HashMap<u64, usize>,
 }
 
 impl Table {
@@ -90,7 +48,7 @@
         let data = self.of.entry(place).or_default();
         match data.iter().position(|d| d.origin == datum.origin) {
             Some(i) if data[i].rank() >= datum.rank() => return Merged::Known,
-            Some(i) => drop(data.remove(i)),
+            Some(i) => uncounted(&mut self.sick_by, &data.remove(i)),
             None => {}
         }
         let at = data.partition_point(|d| d.rank() > datum.rank());
@@ -98,11 +56,19 @@
             return Merged::Known;
         }
         let alike = data[..at].iter().filter(|d| d.sign == datum.sign).count();
+        if datum.sign == Sign::Sick {
+            *self.sick_by.entry(datum.origin).or_default() += 1;
+        }
         data.insert(at, datum);
-        data.truncate(KEPT);
+        data.drain(KEPT.min(data.len())..).for_each(|d| uncounted(&mut self.sick_by, &d));
         Merged::New { alike }
     }
 
+    /// How many processes and zones that origin finds sick.
+    pub fn sick_by(&self, origin: u64) -> usize {
+        self.sick_by.get(&origin).copied().unwrap_or(0)
+    }
+
     /// What is known of a process, zone by zone, the newest first.
     pub fn of(&self, process: Process) -> impl Iterator<Item = (u64, &[Datum])> {
         self.of.range((process, 0)..=(process, u64::MAX)).map(|((_, zone), data)| (*zone, data.as_slice()))
@@ -116,10 +82,13 @@
 
     /// Drops what was seen before `since`.
     pub fn drop_before(&mut self, since: Micros) {
-        for data in self.of.values_mut() {
-            data.retain(|d| d.seen >= since);
-        }
-        self.of.retain(|_, data| !data.is_empty());
+        let sick_by = &mut self.sick_by;
+        self.of.retain(|_, data| {
+            // The newest come first.
+            let kept = data.partition_point(|d| d.seen >= since);
+            data.drain(kept..).for_each(|d| uncounted(sick_by, &d));
+            !data.is_empty()
+        });
     }
 
     /// Data in it.
@@ -133,6 +102,18 @@
     }
 }
 
+/// One of those is gone.
+fn uncounted(sick_by: &mut HashMap<u64, usize>, datum: &Datum) {
+    if datum.sign == Sign::Sick
+        && let Some(count) = sick_by.get_mut(&datum.origin)
+    {
+        *count -= 1;
+        if *count == 0 {
+            sick_by.remove(&datum.origin);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -193,6 +174,12 @@
             let (one, other) = (merged(one.iter()), merged(other.iter()));
             prop_assert_eq!(&joined(one.clone(), &other), &straight);
             prop_assert_eq!(&joined(other, &one), &straight);
+            let mut aged = straight;
+            aged.drop_before(15);
+            for origin in 0..12 {
+                let sick = |d: &&Datum| d.origin == origin && d.sign == Sign::Sick;
+                prop_assert_eq!(aged.sick_by(origin), aged.of.values().flatten().filter(sick).count());
+            }
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod carrier;
 pub mod census;
 pub mod core;
+mod datum;
 pub mod effects;
 pub mod evidence;
 pub mod frame;
--- a/crates/fleet/src/udp.rs
+++ b/crates/fleet/src/udp.rs
@@ -1,23 +1,29 @@
 //! A member on a socket: datagrams, timers, and a way to talk to it from other tasks of the same thread. Changes with
 //! how it is carried.
+//!
+//! While the member has nothing to say the socket wakes it. While it has, it wakes up ten times a second anyway, and
+//! datagrams wait for that: what they bring leaves no sooner, and one wake-up for each would cost more than all else here
+//! (Mogul and Ramakrishnan, "Eliminating Receive Livelock in an Interrupt-driven Kernel", ACM TOCS 15, 1997, p. 217).
 
 use crate::carrier::NotCarried;
 use crate::census::Servers;
-use crate::core::{Carried, Census, Core, Listed, Word};
+use crate::core::{Carried, Census, Core, Listed, TICK, Word};
 use crate::evidence::Sign;
 use crate::frame::LONGEST;
 use crate::section::FleetSection;
 use crate::{Micros, hash};
 use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::io;
+use std::net::UdpSocket;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
+use tokio::io::Interest;
+use tokio::io::unix::AsyncFd;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
-/// Pause after a failed receive.
-const PAUSE: Duration = Duration::from_millis(10);
 /// Datagrams that are read at one go, before others of the thread have their turn.
 const AT_ONCE: usize = 64;
 
@@ -55,7 +61,7 @@
         clock: Clock,
         told: Told,
     ) -> io::Result<Self> {
-        let socket = std::net::UdpSocket::bind(section.listen)?;
+        let socket = UdpSocket::bind(section.listen)?;
         socket.set_nonblocking(true)?;
         let (offset, now) = (section.offset(), clock());
         // Members that start at once must not draw alike.
@@ -63,7 +69,7 @@
         let core = Core::new(section, name, zone, now.unsigned_abs(), seed, now + offset);
         Ok(Self {
             core: Rc::new(RefCell::new(core)),
-            socket: Rc::new(UdpSocket::from_std(socket)?),
+            socket: Rc::new(socket),
             clock,
             offset,
             told,
@@ -86,7 +92,7 @@
         };
         for (to, bytes) in effects.datagrams {
             // Datagrams may be lost, so one that cannot leave now is.
-            let _ = self.socket.try_send_to(&bytes, to);
+            let _ = self.socket.send_to(&bytes, to);
         }
         if !effects.words.is_empty() {
             effects.words.iter_mut().for_each(|word| word.until -= self.offset);
@@ -155,34 +161,52 @@
     /// Runs for good.
     pub async fn run(self) {
         let mut bytes = [0; LONGEST + 1];
+        let mut watched: Option<AsyncFd<Rc<UdpSocket>>> = None;
         loop {
+            if self.read(&mut bytes) {
+                yield_now().await;
+                continue;
+            }
             let wait = self.with(|core, now| {
                 core.tick(now);
                 self.wakes.set(core.next());
                 core.next() - now
             });
-            let wait = Duration::from_micros(u64::try_from(wait).unwrap_or(0));
-            let came = tokio::select! {
-                came = self.socket.readable() => came,
-                () = self.wake.notified() => continue,
-                () = sleep(wait) => continue,
-            };
-            match came {
-                Ok(()) => {
-                    for _ in 0..AT_ONCE {
-                        match self.socket.try_recv_from(&mut bytes) {
-                            Ok((length, from)) => {
-                                self.with(|core, now| core.datagram(now, from, &bytes[..length]))
-                            }
-                            Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                            // An earlier send that was refused shows here; the socket itself stays good.
-                            Err(_) => {}
-                        }
-                    }
-                    tokio::task::yield_now().await;
+            if wait <= TICK {
+                watched = None;
+            } else if watched.is_none() {
+                // Where the system refuses, the beats are what is left. What has come meanwhile shows at once.
+                watched = AsyncFd::register_with_interest(Rc::clone(&self.socket), Interest::READABLE).ok();
+            }
+            let most = if watched.is_some() { Micros::MAX } else { TICK };
+            let sleeps = sleep(Duration::from_micros(u64::try_from(wait.min(most)).unwrap_or(0)));
+            let came = async {
+                match &watched {
+                    Some(socket) => socket.readable().await.map(|mut came| came.clear_ready()),
+                    None => pending().await,
                 }
-                Err(_) => sleep(PAUSE).await,
+            };
+            tokio::select! {
+                // What is wrong with the socket shows where it is read.
+                _ = came => {}
+                () = self.wake.notified() => {}
+                () = sleeps => {}
+            }
+        }
+    }
+
+    /// Reads what has come; true where there may be more.
+    fn read(&self, bytes: &mut [u8]) -> bool {
+        // The member is looked at right after this in any case.
+        self.wakes.set(Micros::MIN);
+        for _ in 0..AT_ONCE {
+            match self.socket.recv_from(bytes) {
+                Ok((length, from)) => self.with(|core, now| core.datagram(now, from, &bytes[..length])),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
+                // An earlier send that was refused shows here; the socket itself stays good.
+                Err(_) => {}
             }
         }
+        true
     }
 }
