Tell the standing what the sidecar knows: lists, places, version; serve /fleet/servers; log

Cause: the core could tell a dead zone from a cut one by lists and servers, show versions, answer the steward's GET /fleet/servers and note its standing, but the sidecar called none of it: on real processes the steward got 404, rosters had no versions, and no line said where a member stands. The driver passes these on now; one line for each change of standing, a name used twice, a quarantine. A test plays two sidecars: alone, whole, the other's version, servers well; it fails without the change at its first look.

The socket is watched through a second descriptor of it, which needs nothing unsafe; the test that counts datagram sockets counts sockets, not descriptors.

--- a/crates/fleet/src/standing.rs
+++ b/crates/fleet/src/standing.rs
@@ -122,6 +122,17 @@
     ToThem,
 }
 
+impl Way {
+    /// Its words on pages and in lines.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Both => "both ways",
+            Self::FromThem => "from them",
+            Self::ToThem => "to them",
+        }
+    }
+}
+
 /// Own standing.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Standing {
--- a/crates/fleet/src/udp.rs
+++ b/crates/fleet/src/udp.rs
@@ -8,6 +8,7 @@
 use crate::carrier::NotCarried;
 use crate::census::Servers;
 use crate::core::{Carried, Census, Core, Listed, TICK, Word};
+use crate::effects::Note;
 use crate::evidence::Sign;
 use crate::frame::LONGEST;
 use crate::section::FleetSection;
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::Interest;
-use tokio::io::unix::AsyncFd;
+use tokio::net::UdpSocket as Watched;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::sleep;
@@ -32,6 +33,8 @@
 /// Who is told of words.
 pub type Told = Rc<dyn Fn(Vec<Word>)>;
 
+/// Who is told of what people should know.
+pub type Notes = Rc<dyn Fn(Note)>;
 /// Who is told of what was carried here.
 pub type Carries = Rc<dyn Fn(Vec<Carried>)>;
 
@@ -44,6 +47,7 @@
     offset: Micros,
     told: Told,
     carries: Rc<RefCell<Option<Carries>>>,
+    notes: Rc<RefCell<Option<Notes>>>,
     /// When it wakes up next, and what wakes it up before.
     wakes: Rc<Cell<Micros>>,
     wake: Rc<Notify>,
@@ -74,6 +78,7 @@
             offset,
             told,
             carries: Rc::default(),
+            notes: Rc::default(),
             wakes: Rc::new(Cell::new(Micros::MIN)),
             wake: Rc::default(),
         })
@@ -104,6 +109,12 @@
                 carries(effects.carried);
             }
         }
+        if !effects.notes.is_empty() {
+            let notes = self.notes.borrow().clone();
+            if let Some(notes) = notes {
+                effects.notes.into_iter().for_each(|note| notes(note));
+            }
+        }
         result
     }
 
@@ -112,6 +123,16 @@
         *self.carries.borrow_mut() = Some(carries);
     }
 
+    /// From now on that one is told of what people should know.
+    pub fn on_notes(&self, notes: Notes) {
+        *self.notes.borrow_mut() = Some(notes);
+    }
+
+    /// The version of the program, as others' rosters show it.
+    pub fn set_version(&self, version: &str) {
+        self.core.borrow_mut().set_version(version);
+    }
+
     /// Spreads a piece to all members; see [`Core::carry`].
     ///
     /// # Errors
@@ -138,6 +159,16 @@
         self.with(|core, now| core.listed(now, list));
     }
 
+    /// Discovery has answered: the list is as new as this.
+    pub fn list_seen(&self) {
+        self.with(Core::list_seen);
+    }
+
+    /// Where the endpoints of the list stand, by their numbers.
+    pub fn placed<'a>(&self, zones: impl Iterator<Item = (usize, &'a str)>) {
+        self.core.borrow_mut().placed(zones);
+    }
+
     /// An endpoint has served this member, or has not.
     pub fn witness(&self, endpoint: usize, sign: Sign) {
         self.with(|core, now| core.witness(now, endpoint, sign));
@@ -161,9 +192,9 @@
     /// Runs for good.
     pub async fn run(self) {
         let mut bytes = [0; LONGEST + 1];
-        let mut watched: Option<AsyncFd<Rc<UdpSocket>>> = None;
+        let mut watched = None;
         loop {
-            if self.read(&mut bytes) {
+            if self.read(&mut bytes, watched.as_ref()) {
                 yield_now().await;
                 continue;
             }
@@ -176,13 +207,13 @@
                 watched = None;
             } else if watched.is_none() {
                 // Where the system refuses, the beats are what is left. What has come meanwhile shows at once.
-                watched = AsyncFd::register_with_interest(Rc::clone(&self.socket), Interest::READABLE).ok();
+                watched = self.socket.try_clone().and_then(Watched::from_std).ok();
             }
             let most = if watched.is_some() { Micros::MAX } else { TICK };
             let sleeps = sleep(Duration::from_micros(u64::try_from(wait.min(most)).unwrap_or(0)));
             let came = async {
                 match &watched {
-                    Some(socket) => socket.readable().await.map(|mut came| came.clear_ready()),
+                    Some(socket) => socket.readable().await,
                     None => pending().await,
                 }
             };
@@ -196,11 +227,16 @@
     }
 
     /// Reads what has come; true where there may be more.
-    fn read(&self, bytes: &mut [u8]) -> bool {
+    fn read(&self, bytes: &mut [u8], watched: Option<&Watched>) -> bool {
         // The member is looked at right after this in any case.
         self.wakes.set(Micros::MIN);
         for _ in 0..AT_ONCE {
-            match self.socket.recv_from(bytes) {
+            let came = match watched {
+                // Through the one that is watched, so that it waits for what comes next.
+                Some(socket) => socket.try_io(Interest::READABLE, || self.socket.recv_from(bytes)),
+                None => self.socket.recv_from(bytes),
+            };
+            match came {
                 Ok((length, from)) => self.with(|core, now| core.datagram(now, from, &bytes[..length])),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 // An earlier send that was refused shows here; the socket itself stays good.
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -18,7 +18,7 @@
 use crate::report::say;
 use crate::spaced::{Spaced, left_out};
 use crate::upstream::Upstream;
-use linenproxy::{Action, Balancer, Discovery, Event, ListUpdate, Listing, Micros, RequestId};
+use linenproxy::{Action, Balancer, Discovery, Event, ListUpdate, Micros, RequestId};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::net::SocketAddr;
@@ -101,7 +101,7 @@
             spawn_local(peers.pass_on(sender.clone()));
         }
         let known = config.known.unwrap_or(HostList { index: 0, snapshot: true, endpoints: Vec::new() });
-        let listings = engine.apply(known, true);
+        let listings = engine.listed.apply(known, true, |id| engine.balancer.knows(id));
         engine.deliver(Event::Endpoints(ListUpdate::Cached(listings)));
         Ok((engine, Handle::new(sender, clock)))
     }
@@ -160,9 +160,7 @@
             }
             Input::Hosts(list) => {
                 self.observer.listed();
-                let full = list.snapshot;
-                let listings = self.apply(list, full);
-                let update = if full { ListUpdate::Full(listings) } else { ListUpdate::Delta(listings) };
+                let update = self.listed.answered(list, |id| self.balancer.knows(id));
                 self.deliver(Event::Endpoints(update));
             }
             Input::HostsFailed(what) => {
@@ -187,10 +185,6 @@
         }
     }
 
-    fn apply(&mut self, list: HostList, full: bool) -> Vec<Listing> {
-        self.listed.apply(list, full, |id| self.balancer.knows(id))
-    }
-
     /// Tells the module of an event and of those that its actions bring about.
     fn deliver(&mut self, event: Event) {
         self.events.push_back(event);
--- a/src/bin/tinflow/fleet.rs
+++ b/src/bin/tinflow/fleet.rs
@@ -3,8 +3,12 @@
 
 use crate::clock::Clock;
 use crate::messages::{Input, Inputs};
+use crate::report::say;
 use linenproxy::{EndpointId, Listing, Micros, Rest, Sharing, Status, Word};
+use linenproxy_common::cli;
+use linenproxy_fleet::census::Servers;
 use linenproxy_fleet::core::{Census, Listed};
+use linenproxy_fleet::effects::Note;
 use linenproxy_fleet::evidence::Sign;
 use linenproxy_fleet::section::FleetSection;
 use linenproxy_fleet::{hash, udp, verdict};
@@ -18,7 +22,7 @@
 #[derive(Clone)]
 pub struct Fleet {
     member: udp::Fleet,
-    list: Rc<RefCell<BTreeMap<EndpointId, Listed>>>,
+    list: Rc<RefCell<BTreeMap<EndpointId, (Listed, String)>>>,
     sharing: Sharing,
 }
 
@@ -36,6 +40,8 @@
             inputs.send(Input::Words(words.into_iter().map(word).collect()));
         });
         let member = udp::Fleet::bind(section, name, zone, Rc::new(move || clock.now()), told)?;
+        member.set_version(cli::VERSION);
+        member.on_notes(Rc::new(|note| note_down(&note)));
         spawn_local(member.clone().run());
         let ahead = if section.affinity.enabled { section.affinity.ahead } else { 0.0 };
         let sharing = Sharing { words: section.verdicts.enabled, ahead };
@@ -52,25 +58,35 @@
         hash(name)
     }
 
-    /// The list, or a part of it that has changed.
-    pub fn listed<'a>(&self, full: bool, listings: &[Listing], name: impl Fn(EndpointId) -> &'a str) {
+    /// Discovery has answered.
+    pub fn list_seen(&self) {
+        self.member.list_seen();
+    }
+
+    /// The list, or a part of it that has changed; names of endpoints, and of zones.
+    pub fn listed<'a>(
+        &self,
+        full: bool,
+        listings: &[Listing],
+        name: impl Fn(EndpointId) -> &'a str,
+        zone: impl Fn(usize) -> &'a str,
+    ) {
         let mut list = self.list.borrow_mut();
         if full {
             list.clear();
         }
         for l in listings {
             let (endpoint, started, ready) = (l.endpoint, l.started, l.status == Status::Ready);
-            match l.status {
-                Status::Gone => drop(list.remove(&endpoint)),
-                _ => {
-                    drop(list.insert(
-                        endpoint,
-                        Listed { endpoint, name: name(endpoint).to_owned(), started, ready },
-                    ))
-                }
+            if l.status == Status::Gone {
+                list.remove(&endpoint);
+                continue;
             }
+            let name = name(endpoint).to_owned();
+            let zone = l.zone.map_or("", &zone).to_owned();
+            list.insert(endpoint, (Listed { endpoint, name, started, ready }, zone));
         }
-        self.member.listed(list.values().cloned().collect());
+        self.member.placed(list.iter().map(|(endpoint, (_, zone))| (*endpoint, zone.as_str())));
+        self.member.listed(list.values().map(|(listed, _)| listed.clone()).collect());
     }
 
     /// An attempt was served, or was not.
@@ -83,6 +99,11 @@
         self.member.leave();
     }
 
+    /// What the steward may be told of servers.
+    pub fn servers(&self) -> Servers {
+        self.member.servers()
+    }
+
     /// What on-call wants to see.
     pub fn census(&self) -> Census {
         self.member.census()
@@ -99,3 +120,31 @@
     let until: Micros = word.until;
     Word { endpoint: word.endpoint, rest, until }
 }
+
+/// What people should know, in a line.
+fn note_down(note: &Note) {
+    match note {
+        Note::Standing { standing, zones } => {
+            let word = standing.kind.word();
+            let zones: Vec<String> =
+                zones.iter().map(|(zone, way)| format!("{zone} {}", way.word())).collect();
+            let side = match standing.larger {
+                Some(true) => ", on the larger side",
+                Some(false) => ", not on the larger side",
+                None => "",
+            };
+            let from = if zones.is_empty() { String::new() } else { format!(" from {}", zones.join(", ")) };
+            say!(info, "tinflow::fleet", "standing: {word}{from}{side}");
+        }
+        Note::Twice { name, addresses: [one, other] } => {
+            say!(
+                warn,
+                "tinflow::fleet",
+                "two processes are members under the name {name}: {one} and {other}"
+            );
+        }
+        Note::Quarantined { name } => {
+            say!(warn, "tinflow::fleet", "{name} fails again and again: its word does not count for now");
+        }
+    }
+}
--- a/src/bin/tinflow/listed.rs
+++ b/src/bin/tinflow/listed.rs
@@ -5,7 +5,7 @@
 use crate::pool::Pool;
 use crate::product::Fleet;
 use linenproxy::settings::Names;
-use linenproxy::{Listing, Status};
+use linenproxy::{ListUpdate, Listing, Status};
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -29,6 +29,16 @@
         self.endpoints.name(id)
     }
 
+    /// Discovery has answered; returns what the module, which `knows` some endpoints, is to hear.
+    pub fn answered(&mut self, list: HostList, knows: impl Fn(usize) -> bool) -> ListUpdate {
+        if let Some(fleet) = &self.fleet {
+            fleet.list_seen();
+        }
+        let full = list.snapshot;
+        let listings = self.apply(list, full, knows);
+        if full { ListUpdate::Full(listings) } else { ListUpdate::Delta(listings) }
+    }
+
     /// Brings the sockets' view of the endpoints up to date, before the module, which `knows` some, can send anything
     /// more; returns what it is to hear.
     pub fn apply(&mut self, list: HostList, full: bool, knows: impl Fn(usize) -> bool) -> Vec<Listing> {
@@ -61,7 +71,7 @@
             self.pool.keep_only(&listed);
         }
         if let Some(fleet) = &self.fleet {
-            fleet.listed(full, &listings, |id| self.endpoints.name(id));
+            fleet.listed(full, &listings, |id| self.endpoints.name(id), |zone| self.zones.name(zone));
         }
         listings
     }
--- a/src/bin/tinflow/plain.rs
+++ b/src/bin/tinflow/plain.rs
@@ -59,7 +59,17 @@
         match *self {}
     }
     /// See `fleet.rs`.
-    pub fn listed<'a>(&self, _: bool, _: &[Listing], _: impl Fn(EndpointId) -> &'a str) {
+    pub fn listed<'a>(
+        &self,
+        _: bool,
+        _: &[Listing],
+        _: impl Fn(EndpointId) -> &'a str,
+        _: impl Fn(usize) -> &'a str,
+    ) {
+        match *self {}
+    }
+    /// See `fleet.rs`.
+    pub fn list_seen(&self) {
         match *self {}
     }
     /// See `fleet.rs`.
--- a/src/bin/tinflow/product.rs
+++ b/src/bin/tinflow/product.rs
@@ -155,12 +155,14 @@
             let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&log));
             let fleet = fleet.clone();
             async move {
-                if path == "/fleet" {
-                    let text = serde_json::to_string_pretty(&fleet?.census()).ok()?;
-                    return Some(Page { media: "application/json", text: text + "\n" });
-                }
-                if path != "/metrics" {
-                    return None;
+                let json = |text: serde_json::Result<String>| {
+                    Some(Page { media: "application/json", text: text.ok()? + "\n" })
+                };
+                match path.as_str() {
+                    "/metrics" => {}
+                    "/fleet" => return json(serde_json::to_string_pretty(&fleet?.census())),
+                    "/fleet/servers" => return json(serde_json::to_string_pretty(&fleet?.servers())),
+                    _ => return None,
                 }
                 if let Some(fleet) = &fleet {
                     observer.fleet(&fleet.census());
