--- a/src/bin/tinflow/fleet.rs
+++ b/src/bin/tinflow/fleet.rs
@@ -99,7 +99,7 @@
         self.member.leave();
     }
 
-    /// What the steward may be told of servers.
+    /// What a steward may be told of the servers.
     pub fn servers(&self) -> Servers {
         self.member.servers()
     }
--- a/src/bin/tinflow/product.rs
+++ b/src/bin/tinflow/product.rs
@@ -155,14 +155,16 @@
             let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&log));
             let fleet = fleet.clone();
             async move {
-                let json = |text: serde_json::Result<String>| {
-                    Some(Page { media: "application/json", text: text.ok()? + "\n" })
+                let shown = match path.as_str() {
+                    "/fleet" => Some(serde_json::to_string_pretty(&fleet.as_ref()?.census())),
+                    "/fleet/servers" => Some(serde_json::to_string(&fleet.as_ref()?.servers())),
+                    _ => None,
                 };
-                match path.as_str() {
-                    "/metrics" => {}
-                    "/fleet" => return json(serde_json::to_string_pretty(&fleet?.census())),
-                    "/fleet/servers" => return json(serde_json::to_string_pretty(&fleet?.servers())),
-                    _ => return None,
+                if let Some(text) = shown {
+                    return Some(Page { media: "application/json", text: text.ok()? + "\n" });
+                }
+                if path != "/metrics" {
+                    return None;
                 }
                 if let Some(fleet) = &fleet {
                     observer.fleet(&fleet.census());
