Play lists with gaps as what they are in the histories' audit

A dead server that the last list dropped is counted by nobody against most_away, and a gap ends before a server that is not listed would be given up. Before this the audit took the first for a breach (19 of 20,000 histories).

--- a/crates/maintenance/tests/play/mod.rs
+++ b/crates/maintenance/tests/play/mod.rs
@@ -110,6 +110,11 @@
                 self.heard.insert(word.server.clone(), (self.world.now, well));
             }
         }
+        if let Event::Servers(list) = &event {
+            let names = self.world.servers.keys();
+            let unlisted = names.filter(|name| list.iter().all(|server| server.name != **name)).cloned();
+            self.world.unlisted = unlisted.collect();
+        }
         let (before, token) = (self.open(), self.machine.last_token());
         // Clocks of leaders differ; an event's time may lie before the last one's.
         let skew = self.rng.i64(-SKEW_MS..=0);
