Let a steward's disk be slow and its clock be off, for experiments

Keys clock_offset_ms and disk_delay of [steward]: the lab's experiments on clocks and slow disks set them, as a process can be given neither without special rights. Both are 0 by default, and cost one sleep of nothing a commit.

--- a/crates/steward/src/config.rs
+++ b/crates/steward/src/config.rs
@@ -52,6 +52,16 @@
     /// How long one reader, caller or steward may take.
     #[serde(default = "timeout")]
     pub timeout: Time,
+    /// By how many milliseconds the clock is off, for experiments.
+    #[serde(default)]
+    pub clock_offset_ms: i64,
+    /// By how much each commit to disk is held up, for experiments.
+    #[serde(default = "none")]
+    pub disk_delay: Time,
+}
+
+fn none() -> Time {
+    Time::ms(0)
 }
 
 fn listen() -> SocketAddr {
--- a/crates/steward/src/keeper.rs
+++ b/crates/steward/src/keeper.rs
@@ -124,7 +124,7 @@
             let what = format!("what {} kept is not believed ({})", own.data.display(), aside.why);
             self.line(true, format!("{what}, it lies in {} now; comes in anew", aside.file.display()));
         }
-        let shelf = Shelf::open(opened.store, fastrand::u64(1..u64::MAX))?;
+        let shelf = Shelf::open(opened.store.slowed(own.disk_delay.0), fastrand::u64(1..u64::MAX))?;
         let heartbeat = u64::try_from(own.heartbeat.0.as_millis()).unwrap_or(u64::MAX);
         let names: Vec<String> = self.sections.stewards.keys().cloned().collect();
         let options = Options {
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -47,7 +47,7 @@
     let mut int = signal(SignalKind::interrupt()).map_err(|e| unavailable(e.to_string()))?;
     let listener = TcpListener::bind(own.listen).await;
     let listener = listener.map_err(|e| unavailable(format!("cannot listen on {}: {e}", own.listen)))?;
-    let clock = Clock::new();
+    let clock = Clock::new(sections.steward.clock_offset_ms);
     let keeper = keeper::start(sections, clock);
     let Keeper { told, mut given, seen } = keeper.map_err(|e| unavailable(e.to_string()))?;
     let calls = Calls::new(told, own.timeout.0);
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::io::ErrorKind;
 use std::path::Path;
+use std::time::Duration;
 
 /// All records: by room, then number.
 const RECORDS: TableDefinition<(&str, u64), &[u8]> = TableDefinition::new("records");
@@ -84,6 +85,8 @@
 pub struct Store {
     records: Database,
     owner: String,
+    /// By how much each commit is held up.
+    slowed: Duration,
 }
 
 impl Store {
@@ -106,7 +109,7 @@
             let what = format!("the owner's name is longer than {LONGEST_OWNER} bytes");
             return Err(Refusal::Trouble(Trouble(what)));
         }
-        let store = Self { records, owner: owner.to_owned() };
+        let store = Self { records, owner: owner.to_owned(), slowed: Duration::ZERO };
         match store.check() {
             Ok(0) => {
                 store.commit(&[Change::Put(OWNER, 0, &[])]).map_err(Refusal::Trouble)?;
@@ -117,6 +120,11 @@
         }
     }
 
+    /// The same store with each commit held up by so much, as on a slow disk: for experiments.
+    pub fn slowed(self, by: Duration) -> Self {
+        Self { slowed: by, ..self }
+    }
+
     /// Checks every record; how many there are.
     fn check(&self) -> Result<usize, Refusal> {
         let trouble = |e: redb::Error| match e {
@@ -172,6 +180,7 @@
     /// # Errors
     /// The disk does not take them; whether it keeps them is not known then.
     pub fn commit(&self, changes: &[Change<'_>]) -> Result<(), Trouble> {
+        std::thread::sleep(self.slowed);
         let write = self.records.begin_write().map_err(Trouble::of)?;
         {
             let mut table = write.open_table(RECORDS).map_err(Trouble::of)?;
