--- a/crates/lab/src/apps.rs
+++ b/crates/lab/src/apps.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for applications: each sends its requests to its sidecar when they are due, whatever became of those
 //! before, and tries again by itself. Changes with how clients behave (PROTOCOL, BRIEF).
 
+mod connection;
+
 use crate::Us;
 use crate::net::Clock;
 use crate::plan::{Arrival, Plan};
@@ -8,20 +10,16 @@
 use crate::servers::{Servers, arrival_of, try_number};
 use crate::site::{CLASSES, CLIENT_RETRIES, Repeat};
 use bytes::Bytes;
+use connection::{End, Failure, Pool, exchange, idle, keep, open};
 use hdrhistogram::Histogram;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Method, Request, Response};
-use hyper_util::rt::TokioIo;
+use http_body_util::Full;
+use hyper::{Method, Request};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// How long a client keeps a connection that it does not use: less than a sidecar keeps it.
-const IDLE: Duration = Duration::from_secs(2);
 /// Bodies of requests that have one.
 const BODY: &str = "{\"entry\":\"0000000000000000000000000000000000000000000000000000000000000000\"}";
 /// Longest hold-off that clients honour, as the settings state it.
@@ -41,18 +39,6 @@
     pub servers: Arc<Servers>,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
-
-/// Idle connections of one application, the most recently used last.
-type Pool = Arc<Mutex<Vec<(Sender, Instant)>>>;
-
-/// How a try ended.
-enum End {
-    Answered { status: u16, genuine: bool, hold_off: Option<Us> },
-    Lost,
-    GaveUp,
-}
-
 impl Apps {
     /// Sends everything, and waits until all of it has ended. Comes back with how late requests left, one in a
     /// hundred, in microseconds.
@@ -206,56 +192,3 @@
         builder.method(method).body(Full::new(Bytes::from_static(body.as_bytes()))).ok()
     }
 }
-
-fn idle(pool: &Pool) -> Option<Sender> {
-    let mut pool = pool.lock().unwrap_or_else(PoisonError::into_inner);
-    pool.retain(|(sender, since)| since.elapsed() < IDLE && sender.is_ready());
-    pool.pop().map(|(sender, _)| sender)
-}
-
-fn keep(pool: &Pool, sender: Option<Sender>) {
-    if let Some(sender) = sender {
-        pool.lock().unwrap_or_else(PoisonError::into_inner).push((sender, Instant::now()));
-    }
-}
-
-async fn open(at: SocketAddr) -> std::io::Result<Sender> {
-    let stream = TcpStream::connect(at).await?;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-    tokio::spawn(connection);
-    Ok(sender)
-}
-
-/// Why no whole answer came.
-enum Failure {
-    /// The connection had been closed before the request was read.
-    Unread,
-    /// It broke after that.
-    Broken,
-}
-
-async fn exchange(
-    mut sender: Sender,
-    message: Request<Full<Bytes>>,
-    request: Try,
-) -> Result<(End, Option<Sender>), Failure> {
-    let response = sender.send_request(message).await.map_err(|e| {
-        // Nothing at all came back: the sidecar's closing crossed with the request.
-        if e.is_canceled() || e.is_closed() || e.is_incomplete_message() {
-            Failure::Unread
-        } else {
-            Failure::Broken
-        }
-    })?;
-    let (status, hold_off) = (response.status().as_u16(), hold_off(&response));
-    let body = response.into_body().collect().await.map_err(|_| Failure::Broken)?.to_bytes();
-    let genuine = status != 200 || body.starts_with(format!("{{\"done\":\"{request:016x}\"").as_bytes());
-    let sender = sender.ready().await.is_ok().then_some(sender);
-    Ok((End::Answered { status, genuine, hold_off }, sender))
-}
-
-fn hold_off<B>(response: &Response<B>) -> Option<Us> {
-    let seconds: f64 = response.headers().get("retry-after")?.to_str().ok()?.parse().ok()?;
-    (0.0..1e6).contains(&seconds).then_some((seconds * 1e6) as Us)
-}
