--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -73,6 +73,11 @@
     },
 ];
 
+/// The time after which no client waits for a try any more, whatever its class.
+pub fn longest_deadline() -> Us {
+    CLASSES.iter().map(|class| class.deadline).max().unwrap_or(0)
+}
+
 /// The sites, in the order of their numbers.
 pub const ZONES: [&str; 3] = ["zagreb", "split", "rijeka"];
 
