Ask the same sidecars again whether a server is clear of bindings

A clear rests on the asked member's own clock (docs/bindings.md), so drawing others with each question would begin the wait anew. Those that answered are kept for the drain's token, others take the place of those that did not.

--- a/crates/steward/src/bindings.rs
+++ b/crates/steward/src/bindings.rs
@@ -20,24 +20,43 @@
     /// at this epoch, and none that it is not. A zone in which too few answer cannot tell, so it is not.
     pub async fn unbound(&self, leaving: &Unclear) -> bool {
         let body = json!({"server": leaving.server, "started_ms": leaving.started, "epoch": leaving.epoch});
+        // The same sidecars again: each counts by its own clock since when the process leaves.
+        let kept = self.witnesses.borrow_mut().remove(&leaving.server);
+        let drawn = match kept {
+            Some((epoch, kept)) if epoch == leaving.epoch => kept,
+            _ => self.draw(),
+        };
         let mut asking = JoinSet::new();
-        for (zone, at) in self.draw() {
+        for (zone, at) in drawn {
             let (body, within) = (body.clone(), self.evidence().timeout.0);
             asking.spawn_local(async move {
                 let (status, said) = fetch(at, "POST", "/fleet/leaving", Some(&body), within).await.ok()?;
                 let said = serde_json::from_value::<Said>(said).ok().filter(|_| status == 200)?;
-                Some((zone, said))
+                Some((zone, at, said))
             });
         }
         let mut clear: BTreeMap<String, usize> = BTreeMap::new();
+        let (mut answered, mut against) = (Vec::new(), false);
         while let Some(said) = asking.join_next().await {
-            match said.ok().flatten() {
-                Some((_, said)) if !said.clear => return false,
-                Some((zone, said)) if said.epoch >= leaving.epoch => *clear.entry(zone).or_default() += 1,
-                _ => {}
+            let Some((zone, at, said)) = said.ok().flatten() else { continue };
+            against |= !said.clear;
+            if said.clear && said.epoch >= leaving.epoch {
+                *clear.entry(zone.clone()).or_default() += 1;
             }
+            answered.push((zone, at));
         }
+        // In the place of those that did not answer others are asked next time.
         let evidence = self.evidence();
+        for (zone, at) in self.draw() {
+            let of_zone = answered.iter().filter(|(z, _)| *z == zone).count();
+            if of_zone < evidence.ask && !answered.iter().any(|(_, one)| *one == at) {
+                answered.push((zone, at));
+            }
+        }
+        self.witnesses.borrow_mut().insert(leaving.server.clone(), (leaving.epoch, answered));
+        if against {
+            return false;
+        }
         evidence
             .sidecars
             .iter()
--- a/crates/steward/src/looks.rs
+++ b/crates/steward/src/looks.rs
@@ -44,6 +44,9 @@
     Option::deserialize(from).map(Some)
 }
 
+/// Sidecars' addresses with their zones.
+pub type Drawn = Vec<(String, SocketAddr)>;
+
 /// The looks.
 pub struct Looks {
     sections: Sections,
@@ -55,6 +58,8 @@
     failure: RefCell<String>,
     /// Since when a draining server was seen idle, for the drain with that token.
     idle: RefCell<BTreeMap<String, (u64, Instant)>>,
+    /// Sidecars that are asked whether a server is clear, by the token of its drain.
+    pub witnesses: RefCell<BTreeMap<String, (u64, Drawn)>>,
     /// Sidecars that answered in the last round, and that were asked.
     pub answered: Cell<(usize, usize)>,
 }
@@ -74,6 +79,7 @@
             list: RefCell::default(),
             failure: RefCell::default(),
             idle: RefCell::default(),
+            witnesses: RefCell::default(),
             answered: Cell::default(),
         })
     }
@@ -162,7 +168,9 @@
         let free = |s: &Listed| s.state == "draining" && s.in_flight.is_none_or(|count| count == Some(0));
         let mut idle = self.idle.borrow_mut();
         // What is not listed any more is nobody's question.
-        idle.retain(|name, _| list.iter().any(|server| server.name == *name));
+        let listed = |name: &String| list.iter().any(|server| server.name == *name);
+        idle.retain(|name, _| listed(name));
+        self.witnesses.borrow_mut().retain(|name, _| listed(name));
         if !server.is_some_and(free) {
             idle.remove(name);
             return false;
@@ -176,7 +184,7 @@
     }
 
     /// Addresses of so many sidecars of each zone, drawn anew.
-    pub fn draw(&self) -> Vec<(String, SocketAddr)> {
+    pub fn draw(&self) -> Drawn {
         let evidence = &self.sections.evidence;
         let mut drawn = Vec::new();
         for (zone, all) in &evidence.sidecars {
