Count only probes that had time to be answered as unanswered, and ask six at a time

The probes sent in the very look that concluded the loss counted as unanswered: 18 of the 20 had had time, and 18 losses of 51 % each fall together once in 180,000 doubts. Now what is asked counts from the next look on, and 26 must be unanswered, six a round, which fits the same 1.2 s: once in 40 million.

--- a/crates/fleet/src/standing_zone.rs
+++ b/crates/fleet/src/standing_zone.rs
@@ -2,8 +2,8 @@
 //!
 //! A zone that nobody here has heard for [`DOUBT`] is asked, by more members at a time the longer it lasts; it is lost at
 //! [`LOST`], which leaves three probe periods of a second with the ticks and the skew of clocks on top. Asking makes the
-//! difference between silence and loss: with three datagrams in ten lost each way 20 answers fail together once in
-//! 700,000 doubts that nobody else of the zone could end.
+//! difference between silence and loss: with three datagrams in ten lost each way 26 answers fail together once in
+//! 40 million doubts that nobody else of the zone could end. Only what can have been answered counts as unanswered.
 
 use crate::standing::Way;
 use crate::standing_heard::Heard;
@@ -25,8 +25,8 @@
 /// many must have stayed without answer.
 pub const ROUND: Micros = SECOND / 5;
 const FIRST: u32 = 2;
-const PROBES: u32 = 4;
-pub const ASKED: u32 = 20;
+const PROBES: u32 = 6;
+pub const ASKED: u32 = 26;
 const ASKED_OWN: u32 = 40;
 /// How often a lost one is asked.
 pub const ROUND_LOST: Micros = 2 * SECOND;
@@ -135,6 +135,8 @@
         let doubted = !small && (from > DOUBT || to > DOUBT_TOLD);
         let (mut ask, mut lost) = (0, (z.running == 0 && z.known > 0, z.running == 0 && z.known > 0));
         if !small {
+            // What is asked now cannot have been answered yet.
+            let before = self.asking.asked;
             let own = age(heard.own(z.zone)).min(age(heard.acked(z.zone)));
             if doubted || own >= OWN_LOST / 2 {
                 let gone = self.silent.is_some_and(|s| s.heard_since.is_none());
@@ -142,7 +144,7 @@
             } else {
                 self.asking.asked = 0;
             }
-            let asked = |n: u32| self.asking.asked >= n;
+            let asked = |n: u32| before >= n;
             let from_lost = (from >= LOST && asked(ASKED)) || (own >= OWN_LOST && asked(ASKED_OWN));
             lost = (from_lost, to >= LOST_TOLD && asked(ASKED));
         }
@@ -184,3 +186,25 @@
         Looked { ask, doubted: doubted && self.silent.is_none(), next }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_zone_is_lost_only_once_enough_probes_had_time_to_be_answered_and_soon_enough() {
+        let (mut followed, mut heard) = (Followed::default(), Heard::default());
+        let z = Zone { zone: 2, running: 20, known: 20, ..Zone::default() };
+        heard.came(0, 1, 2, true);
+        let mut sent = Vec::new();
+        let lost_at = (0..40).map(|tenth| tenth * SECOND / 10).find(|&now| {
+            let looked = followed.look(now, (1, &z, 60), &heard, 0);
+            sent.push((now, looked.ask));
+            followed.lost().is_some()
+        });
+        let at = lost_at.expect("nothing is heard of it");
+        assert!(at <= LOST_TOLD, "{at}");
+        let answerable: usize = sent.iter().filter(|(then, _)| at - then >= ROUND).map(|(_, n)| n).sum();
+        assert!(answerable >= ASKED as usize, "{answerable} of {sent:?}");
+    }
+}
