--- a/tests/failures/shedding.rs
+++ b/tests/failures/shedding.rs
@@ -55,3 +55,29 @@
     taken(100 * MS);
     assert_eq!(taken(100 * MS), 200, "taken once the pace is back");
 }
+
+/// Requests refused of so many, sixteen a second at twelve servers; some never answer, the others in 100 ms.
+fn refused_of(requests: usize, silent: &[EndpointId]) -> usize {
+    let mut rig = Rig::new(Settings { instances: 6, ..settings() }, 12, 1);
+    let mut refusals = 0;
+    for n in 0..100 + requests {
+        let (id, actions) = rig.request_for(UNSAFE, 3000 * MS, None, Some(100 * MS));
+        refusals += usize::from(n >= 100 && refused(&actions, id));
+        rig.wait(60 * MS);
+        for ((id, attempt), out) in rig.out.clone() {
+            let hangs = n >= 100 && silent.contains(&out.endpoint);
+            if rig.now - out.sent >= 100 * MS && !hangs {
+                rig.end(id, attempt, Outcome::Ok);
+            }
+        }
+    }
+    refusals
+}
+
+// Each takes what it is sent until its time is out, while all others answer as ever.
+#[test]
+fn attempts_stuck_at_silent_servers_are_no_crowd() {
+    assert_eq!(refused_of(200, &[]), 0);
+    let refusals = refused_of(200, &[1, 3, 5, 7, 9, 11]);
+    assert!(refusals <= 10, "{refusals} of 200 refused while half of the servers are silent");
+}
