Host what is kept in the sidecar by [state] dir: list, circuits, pace and incarnation over crashes

Another process on the directory: one line and exit code 69. A disk that fails: one line, a figure, and again after 10 s. A fleet's member takes its incarnation from there, so that a clock that was put back gives none twice. Form 2 keeps how often circuits opened; form 1 is migrated (recorded file), a newer one set aside.

Real processes: list and circuit known after SIGKILL with discovery gone, 15 kills under load in a row, a clean stop, a taken and a useless directory, no thread, line or figure without the section. The engine's timers became a file.

--- a/crates/fleet/src/udp.rs
+++ b/crates/fleet/src/udp.rs
@@ -44,7 +44,8 @@
 }
 
 impl Fleet {
-    /// Binds the socket; [`Fleet::run`] brings it to life. Its incarnation is the clock's time at its start.
+    /// Binds the socket; [`Fleet::run`] brings it to life. Its incarnation is the clock's time at its start, unless one
+    /// is given: higher than that of any life before.
     ///
     /// # Errors
     /// The address cannot be had.
@@ -54,13 +55,15 @@
         zone: &str,
         clock: Clock,
         told: Told,
+        incarnation: Option<u64>,
     ) -> io::Result<Self> {
         let socket = std::net::UdpSocket::bind(section.listen)?;
         socket.set_nonblocking(true)?;
         let (offset, now) = (section.offset(), clock());
         // Members that start at once must not draw alike.
         let seed = hash(name) ^ now.unsigned_abs();
-        let core = Core::new(section, name, zone, now.unsigned_abs(), seed, now + offset);
+        let core =
+            Core::new(section, name, zone, incarnation.unwrap_or(now.unsigned_abs()), seed, now + offset);
         Ok(Self {
             core: Rc::new(RefCell::new(core)),
             socket: Rc::new(UdpSocket::from_std(socket)?),
--- a/crates/recovery/src/form.rs
+++ b/crates/recovery/src/form.rs
@@ -1,14 +1,15 @@
 //! How what is kept is written: the version of the form, then the thing itself. Changes with the form, and then
 //! [`SCHEMA`] does too, and the form before is read beside it.
 
-use crate::known::{Changes, Known};
+use crate::form_before;
+use crate::known::{Changes, Known, Processes};
 use linenproxy_store::{Change, Store, Trouble};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::fmt;
 
 /// The version of the form that is written.
-pub const SCHEMA: u16 = 1;
+pub const SCHEMA: u16 = 2;
 
 /// Rooms of the store, one for each thing; it lies under number 0.
 const LIST: &str = "list";
@@ -47,18 +48,37 @@
 pub(crate) fn read(store: &Store) -> Result<Known, Unread> {
     Ok(Known {
         list: part(store, LIST)?,
-        processes: part(store, PROCESSES)?,
+        processes: processes(store)?,
         configuration: part(store, CONFIGURATION)?,
         life: part(store, LIFE)?,
     })
 }
 
+/// The form of a part, and its bytes.
+fn stored(store: &Store, room: &'static str) -> Result<Option<(u16, Vec<u8>)>, Unread> {
+    let Some(mut bytes) = store.get(room, 0).map_err(Unread::Trouble)? else { return Ok(None) };
+    let schema = bytes.first_chunk().copied().ok_or(Unread::Form(room))?;
+    Ok(Some((u16::from_le_bytes(schema), bytes.split_off(schema.len()))))
+}
+
+/// A part that has not changed since the form before.
 fn part<T: DeserializeOwned>(store: &Store, room: &'static str) -> Result<Option<T>, Unread> {
-    let Some(bytes) = store.get(room, 0).map_err(Unread::Trouble)? else { return Ok(None) };
-    let (schema, rest) = bytes.split_first_chunk().ok_or(Unread::Form(room))?;
-    match u16::from_le_bytes(*schema) {
-        SCHEMA => whole(rest).ok_or(Unread::Form(room)).map(Some),
-        other => Err(Unread::Schema(other)),
+    match stored(store, room)? {
+        None => Ok(None),
+        Some((SCHEMA | form_before::SCHEMA, bytes)) => whole(&bytes).ok_or(Unread::Form(room)).map(Some),
+        Some((other, _)) => Err(Unread::Schema(other)),
+    }
+}
+
+fn processes(store: &Store) -> Result<Option<Processes>, Unread> {
+    let form = Unread::Form(PROCESSES);
+    match stored(store, PROCESSES)? {
+        None => Ok(None),
+        Some((SCHEMA, bytes)) => whole(&bytes).ok_or(form).map(Some),
+        Some((form_before::SCHEMA, bytes)) => {
+            whole::<form_before::Processes>(&bytes).ok_or(form).map(|before| Some(before.into()))
+        }
+        Some((other, _)) => Err(Unread::Schema(other)),
     }
 }
 
--- a/crates/recovery/src/known.rs
+++ b/crates/recovery/src/known.rs
@@ -47,6 +47,8 @@
     pub seen: Micros,
     /// Its circuit was open.
     pub open: bool,
+    /// Times that it has opened since it was last well.
+    pub openings: u32,
     /// Time that it takes for a unit of work, in such units.
     pub slow: f64,
     /// Requests that it might have in flight.
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -8,6 +8,7 @@
 mod desk;
 mod directory;
 mod form;
+mod form_before;
 mod keeper;
 mod known;
 mod section;
--- a/crates/recovery/tests/common/mod.rs
+++ b/crates/recovery/tests/common/mod.rs
@@ -96,7 +96,15 @@
 }
 
 pub fn process(number: usize, seen: Micros, open: bool) -> Process {
-    Process { name: format!("s-{number}"), started: Some(5000), seen, open, slow: 1.5, cap: 2.0 }
+    Process {
+        name: format!("s-{number}"),
+        started: Some(5000),
+        seen,
+        open,
+        openings: u32::from(open),
+        slow: 1.5,
+        cap: 2.0,
+    }
 }
 
 /// What a sidecar of so many endpoints knows at a time, one in five of them sick.
--- /dev/null
+++ b/crates/recovery/tests/migration.rs
@@ -0,0 +1,74 @@
+//! Files of other versions. Changes with the form on disk.
+//!
+//! `files/known-form-1.sectors` was written by the version before: 512 bytes of the file each, behind the number of
+//! their place as four bytes; all others are zero.
+
+mod common;
+use common::*;
+use linenproxy_recovery::*;
+use linenproxy_store::disk::{Disk, SECTOR};
+use linenproxy_store::{Change, Store};
+
+const LENGTH: usize = 73_728;
+
+/// The disk of the version before, as it was recorded.
+fn before() -> Disk {
+    let mut bytes = vec![0; LENGTH];
+    for record in include_bytes!("files/known-form-1.sectors").chunks_exact(4 + SECTOR) {
+        let (place, sector) = record.split_first_chunk().expect("four bytes");
+        let at = u32::from_le_bytes(*place) as usize * SECTOR;
+        bytes[at..at + SECTOR].copy_from_slice(sector);
+    }
+    Disk::holding(bytes)
+}
+
+fn held(found: &Known) -> Changes {
+    let Known { list, processes, configuration, life } = found.clone();
+    Changes { list, processes, configuration, life }
+}
+
+#[test]
+fn the_form_before_is_read_as_if_it_were_this_one() {
+    let disks = Disks::default();
+    disks.put(FileKind::Known, before());
+    let (keeper, found) = Keeper::begin(&disks, OWNER, NOW).expect("begins");
+    assert!(found.asides.is_empty(), "{:?}", found.asides);
+    assert_eq!(held(&found.known), changes(10, NOW));
+    // What is kept from now on is in the new form, part by part.
+    keeper.keep(&Changes { processes: changes(10, NOW).processes, ..Changes::default() }).expect("kept");
+    drop(keeper);
+    let (_, again) = Keeper::begin(&disks, OWNER, NOW).expect("begins");
+    assert_eq!(held(&again.known), changes(10, NOW));
+}
+
+#[test]
+fn power_may_go_at_any_write_of_a_migration() {
+    let mut random = fastrand::Rng::with_seed(5);
+    for writes in 0..60 {
+        let disks = Disks::default();
+        disks.put(FileKind::Known, before());
+        disks.fail_after(writes);
+        if let Ok((keeper, _)) = Keeper::begin(&disks, OWNER, NOW) {
+            let _ = keeper.keep(&changes(10, NOW + SECOND));
+        }
+        disks.crash(&mut random);
+        let (_, found) = Keeper::begin(&disks, OWNER, NOW + SECOND).expect("begins");
+        let known = held(&found.known);
+        assert!(known == changes(10, NOW) || known == changes(10, NOW + SECOND), "after {writes}: {known:?}");
+        assert_eq!(disks.asides(), 0);
+    }
+}
+
+#[test]
+fn a_newer_form_is_set_aside_as_it_is() {
+    let disks = Disks::default();
+    drop(Keeper::begin(&disks, OWNER, NOW).expect("begins"));
+    let store = Store::on(disks.disk(FileKind::Known), OWNER).expect("whole");
+    let newer = (SCHEMA + 1).to_le_bytes();
+    store.commit(&[Change::Put("list", 0, &newer)]).expect("kept");
+    drop(store);
+    let (keeper, found) = Keeper::begin(&disks, OWNER, NOW).expect("begins");
+    assert_eq!((found.known, found.asides.len(), disks.asides()), (Known::default(), 1, 1));
+    assert!(found.asides[0].why.contains("form 3"), "{:?}", found.asides);
+    keeper.keep(&changes(3, NOW)).expect("serves on");
+}
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -1,6 +1,7 @@
 //! Owns the decision module: everything that happens on the sockets becomes an event for it, and its actions
 //! are carried out. Nothing is decided here. Changes with how an event is told or an action is carried out.
 
+use crate::alarms::Alarms;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::descriptors::Limits;
@@ -14,19 +15,18 @@
 use crate::open::Open;
 use crate::peers::Peers;
 use crate::pool::Pool;
-use crate::product::{Fleet, Observer};
+use crate::product::{Fleet, Observer, State};
 use crate::report::say;
 use crate::spaced::{Spaced, left_out};
 use crate::upstream::Upstream;
 use linenproxy::{Action, Balancer, Discovery, Event, ListUpdate, Listing, Micros, RequestId};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 /// Log lines about bad input from outside: one in this time.
 const COMPLAINT_SPACING: Duration = Duration::from_secs(5);
@@ -43,7 +43,7 @@
     upstream: Rc<Upstream>,
     asks: mpsc::UnboundedSender<Ask>,
     peers: Option<Peers>,
-    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    timers: Alarms,
     /// Events that follow from actions.
     events: VecDeque<Event>,
     complaints: Spaced,
@@ -51,8 +51,8 @@
     fleet: Option<Fleet>,
 }
 
-/// What an engine is made of besides its configuration: its inputs, its clock, its membership in a fleet.
-pub type Parts = (Inputs, mpsc::UnboundedReceiver<Input>, Clock, Option<Fleet>);
+/// What an engine is made of besides its configuration: its inputs, its clock, its membership in a fleet, what is kept.
+pub type Parts = (Inputs, mpsc::UnboundedReceiver<Input>, Clock, Option<Fleet>, Option<State>);
 
 impl Engine {
     /// Starts the module with the list as last known, and the tasks that serve it.
@@ -61,7 +61,7 @@
         peers: Option<Peers>,
         discovery_at: watch::Receiver<SocketAddr>,
         observer: Observer,
-        (sender, inputs, clock, fleet): Parts,
+        (sender, inputs, clock, fleet, state): Parts,
     ) -> Result<(Self, Handle), String> {
         let decoded = config.decoded;
         let limits = &decoded.settings.limits;
@@ -79,12 +79,12 @@
             inputs,
             sender: sender.clone(),
             open: Open::new(clock, observer.clone()),
-            listed: Listed::new(decoded.zones, Rc::clone(&pool), fleet.clone()),
+            listed: Listed::new(decoded.zones, Rc::clone(&pool), fleet.clone(), state),
             upstream: Rc::new(Upstream::new(Rc::clone(&pool))),
             pool: Rc::clone(&pool),
             asks,
             peers: peers.clone(),
-            timers: BinaryHeap::new(),
+            timers: Alarms::new(clock),
             events: VecDeque::new(),
             complaints: Spaced::new(COMPLAINT_SPACING),
             observer,
@@ -109,13 +109,7 @@
     /// Runs for good.
     pub async fn run(mut self) {
         loop {
-            let next = self.timers.peek().map(|Reverse((at, _))| self.clock.instant(*at));
-            let timer = async {
-                match next {
-                    Some(at) => sleep_until(at).await,
-                    None => std::future::pending().await,
-                }
-            };
+            let timer = self.timers.wait();
             tokio::select! {
                 biased;
                 input = self.inputs.recv() => match input {
@@ -131,10 +125,7 @@
 
     fn fire_timers(&mut self) {
         let now = self.clock.now();
-        while let Some(&Reverse((at, token))) = self.timers.peek()
-            && at <= now
-        {
-            self.timers.pop();
+        while let Some(token) = self.timers.due(now) {
             self.deliver(Event::Timer(token));
         }
     }
@@ -176,6 +167,10 @@
                 let _ = reply.send(Survey { census: self.balancer.census(), open, attempts });
             }
             #[cfg(feature = "product")]
+            Input::Recalled(known) => self.deliver(Event::Recalled(self.listed.numbered(known))),
+            #[cfg(feature = "product")]
+            Input::Recollect(reply) => drop(reply.send(self.listed.named(&self.balancer))),
+            #[cfg(feature = "product")]
             Input::Words(words) => self.deliver(Event::Words(words)),
             Input::Peer(from, bytes, _permit) => self.deliver(Event::PeerMessage { from, bytes }),
         }
@@ -215,9 +210,7 @@
                 let (upstream, inputs) = (Rc::clone(&self.upstream), self.sender.clone());
                 spawn_local(upstream.probe(endpoint, inputs));
             }
-            Action::SetTimer { after, token } => {
-                self.timers.push(Reverse((self.clock.now().saturating_add(after), token)));
-            }
+            Action::SetTimer { after, token } => self.timers.set(after, token),
             Action::Subscribe(on) => {
                 let _ = self.asks.send(if on { Ask::Watch } else { Ask::StopWatch });
             }
--- a/src/bin/tinflow/fleet.rs
+++ b/src/bin/tinflow/fleet.rs
@@ -30,12 +30,13 @@
         zone: &str,
         inputs: &Inputs,
         clock: Clock,
+        incarnation: Option<u64>,
     ) -> io::Result<Self> {
         let inputs = inputs.clone();
         let told = Rc::new(move |words: Vec<linenproxy_fleet::core::Word>| {
             inputs.send(Input::Words(words.into_iter().map(word).collect()));
         });
-        let member = udp::Fleet::bind(section, name, zone, Rc::new(move || clock.now()), told)?;
+        let member = udp::Fleet::bind(section, name, zone, Rc::new(move || clock.now()), told, incarnation)?;
         spawn_local(member.clone().run());
         let ahead = if section.affinity.enabled { section.affinity.ahead } else { 0.0 };
         let sharing = Sharing { words: section.verdicts.enabled, ahead };
--- a/src/bin/tinflow/listed.rs
+++ b/src/bin/tinflow/listed.rs
@@ -2,9 +2,13 @@
 //! here.
 
 use crate::hosts::{HostList, HostStatus};
+#[cfg(feature = "product")]
+use crate::messages::Named;
 use crate::pool::Pool;
-use crate::product::Fleet;
+use crate::product::{Fleet, State};
 use linenproxy::settings::Names;
+#[cfg(feature = "product")]
+use linenproxy::{Balancer, Recalled};
 use linenproxy::{Listing, Status};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -16,12 +20,27 @@
     kinds: Names,
     pool: Rc<Pool>,
     fleet: Option<Fleet>,
+    state: Option<State>,
 }
 
 impl Listed {
     /// No endpoint yet; the settings name some zones.
-    pub fn new(zones: Names, pool: Rc<Pool>, fleet: Option<Fleet>) -> Self {
-        Self { endpoints: Names::default(), zones, kinds: Names::default(), pool, fleet }
+    pub fn new(zones: Names, pool: Rc<Pool>, fleet: Option<Fleet>, state: Option<State>) -> Self {
+        Self { endpoints: Names::default(), zones, kinds: Names::default(), pool, fleet, state }
+    }
+
+    /// What was known of endpoints, by their numbers; those without one are left out.
+    #[cfg(feature = "product")]
+    pub fn numbered(&self, known: Vec<Named>) -> Vec<Recalled> {
+        let of = |(name, k): Named| Some(Recalled { endpoint: self.endpoints.find(&name)?, ..k });
+        known.into_iter().filter_map(of).collect()
+    }
+
+    /// How many are listed, and what the module knows of them, by their names.
+    #[cfg(feature = "product")]
+    pub fn named(&self, balancer: &Balancer) -> (usize, Vec<Named>) {
+        let named = |k: Recalled| (self.name(k.endpoint).to_owned(), k);
+        (balancer.census().listed, balancer.memory().into_iter().map(named).collect())
     }
 
     /// The name of an endpoint.
@@ -32,6 +51,9 @@
     /// Brings the sockets' view of the endpoints up to date, before the module, which `knows` some, can send anything
     /// more; returns what it is to hear.
     pub fn apply(&mut self, list: HostList, full: bool, knows: impl Fn(usize) -> bool) -> Vec<Listing> {
+        if let Some(state) = &self.state {
+            state.listed(&list, full);
+        }
         for id in self.endpoints.release(|id| !knows(id)) {
             self.pool.release(id);
         }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -1,6 +1,7 @@
 //! tinflow: a sidecar load balancer on real sockets. One thread; every task shares it.
 #![forbid(unsafe_code)]
 
+mod alarms;
 mod clock;
 mod config;
 mod connection;
@@ -14,6 +15,8 @@
 mod headers;
 mod hosts;
 mod inbound;
+#[cfg(feature = "product")]
+mod kept;
 mod listed;
 mod messages;
 #[cfg(feature = "product")]
@@ -26,6 +29,8 @@
 mod report;
 mod serving;
 mod spaced;
+#[cfg(feature = "product")]
+mod state;
 mod stop;
 mod upstream;
 
@@ -81,7 +86,7 @@
     LocalSet::new().block_on(&runtime, serve(config, product))
 }
 
-async fn serve(config: Config, product: &mut Product) -> Result<(), Failure> {
+async fn serve(mut config: Config, product: &mut Product) -> Result<(), Failure> {
     let failed = |what| (what, ExitCode::FAILURE);
     let listener = inbound::bind(config.listen)
         .map_err(|e| failed(format!("cannot listen on {}: {e}", config.listen)))?;
@@ -104,11 +109,12 @@
     let fixed = config.fixed.clone();
     let observer = product.observer(&config.decoded.classes);
     let ((inputs, arriving), clock) = (Inputs::channel(), Clock::new());
-    let fleet = product.join(&config, &inputs, clock)?;
-    let parts = (inputs, arriving, clock, fleet.clone());
+    let state = product.recover(&mut config, clock)?;
+    let fleet = product.join(&config, &inputs, clock, state.as_ref())?;
+    let parts = (inputs.clone(), arriving, clock, fleet.clone(), state.clone());
     let (engine, handle) =
         Engine::new(config, peers, discovery_at, observer.clone(), parts).map_err(failed)?;
-    product.host(&observer, handle.inputs(), fleet.as_ref())?;
+    product.host(&observer, handle.inputs(), fleet.as_ref(), state.as_ref())?;
     let (stop, stopped) = watch::channel(Stop::No);
     let mut running = spawn_local(engine.run());
     let accepting = spawn_local(inbound::accept(listener, limits, lanes, handle, stopped));
@@ -130,6 +136,9 @@
     if let Some(fleet) = &fleet {
         fleet.leave();
     }
+    if let Some(state) = &state {
+        state.stop(&inputs);
+    }
     stop.send_replace(Stop::Closing);
     sleep(ACCEPT_AFTER_TERM).await;
     stop.send_replace(Stop::Closed);
--- a/src/bin/tinflow/messages.rs
+++ b/src/bin/tinflow/messages.rs
@@ -33,6 +33,12 @@
     /// Somebody measures.
     #[cfg(feature = "product")]
     Survey(oneshot::Sender<Survey>),
+    /// What a life before knew of endpoints.
+    #[cfg(feature = "product")]
+    Recalled(Vec<Named>),
+    /// Somebody keeps what is known of endpoints, and counts how many are listed.
+    #[cfg(feature = "product")]
+    Recollect(oneshot::Sender<(usize, Vec<Named>)>),
     /// The fleet's words have changed.
     #[cfg(feature = "product")]
     Words(Vec<linenproxy::Word>),
@@ -40,6 +46,10 @@
     Peer(u32, Vec<u8>, OwnedSemaphorePermit),
 }
 
+/// What is known of an endpoint, by its name; its number is only the engine's.
+#[cfg(feature = "product")]
+pub type Named = (String, linenproxy::Recalled);
+
 /// The one final answer to a request.
 pub enum Answer {
     /// An endpoint's answer.
@@ -70,6 +80,14 @@
         survey.await.ok()
     }
 
+    /// How many endpoints are listed, and what the engine knows of them; `None` once it has ended.
+    #[cfg(feature = "product")]
+    pub async fn recollect(&self) -> Option<(usize, Vec<Named>)> {
+        let (reply, known) = oneshot::channel();
+        self.send(Input::Recollect(reply));
+        known.await.ok()
+    }
+
     /// Hands over an input.
     pub fn send(&self, input: Input) {
         // The engine ends only with the process.
--- a/src/bin/tinflow/plain.rs
+++ b/src/bin/tinflow/plain.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::hosts::HostList;
 use crate::messages::{Answer, Inputs, Outgoing};
 use linenproxy::{AttemptNo, EndpointId, Listing, Micros, Outcome, Sharing};
 use std::process::ExitCode;
@@ -28,13 +29,30 @@
         Observer
     }
 
+    /// Keeps nothing.
+    pub fn recover(&self, _: &mut Config, _: Clock) -> Result<Option<State>, (String, ExitCode)> {
+        Ok(None)
+    }
+
     /// Joins nothing.
-    pub fn join(&self, _: &Config, _: &Inputs, _: Clock) -> Result<Option<Fleet>, (String, ExitCode)> {
+    pub fn join(
+        &self,
+        _: &Config,
+        _: &Inputs,
+        _: Clock,
+        _: Option<&State>,
+    ) -> Result<Option<Fleet>, (String, ExitCode)> {
         Ok(None)
     }
 
     /// Hosts nothing.
-    pub fn host(&self, _: &Observer, _: &Inputs, _: Option<&Fleet>) -> Result<(), (String, ExitCode)> {
+    pub fn host(
+        &self,
+        _: &Observer,
+        _: &Inputs,
+        _: Option<&Fleet>,
+        _: Option<&State>,
+    ) -> Result<(), (String, ExitCode)> {
         Ok(())
     }
 
@@ -72,6 +90,21 @@
     }
 }
 
+/// There is none.
+#[derive(Clone)]
+pub enum State {}
+
+impl State {
+    /// See `state.rs`.
+    pub fn listed(&self, _: &HostList, _: bool) {
+        match *self {}
+    }
+    /// See `state.rs`.
+    pub fn stop(&self, _: &Inputs) {
+        match *self {}
+    }
+}
+
 /// Sees nothing.
 #[derive(Clone)]
 pub struct Observer;
--- a/src/bin/tinflow/product.rs
+++ b/src/bin/tinflow/product.rs
@@ -7,12 +7,14 @@
 use crate::messages::Inputs;
 pub use crate::observer::Observer;
 use crate::report::say;
+pub use crate::state::State;
 use clap::Parser;
 use linenproxy_common::cli::{self, Exit};
 use linenproxy_common::config::{self, Configuration, Contradiction};
 use linenproxy_common::logging::{self, Log, LogSection};
 use linenproxy_common::metering::{self, Bounds, Figures, MetricsSection, Page};
 use linenproxy_fleet::section::FleetSection;
+use linenproxy_recovery::StateSection;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
 use std::path::PathBuf;
@@ -43,13 +45,15 @@
     log: LogSection,
     metrics: MetricsSection,
     fleet: FleetSection,
+    state: StateSection,
 }
 
 impl Configuration for Sections {
     fn check(&self) -> Result<(), Contradiction> {
         self.log.check()?;
         self.metrics.check()?;
-        self.fleet.check()
+        self.fleet.check()?;
+        self.state.check()
     }
 }
 
@@ -105,12 +109,18 @@
         }
     }
 
+    /// Begins a life in the state directory, where one is configured.
+    pub fn recover(&self, config: &mut Config, clock: Clock) -> Result<Option<State>, (String, ExitCode)> {
+        State::begin(&self.holds.state, &self.holds.fleet.cluster, config, clock)
+    }
+
     /// Joins the fleet, where one is configured.
     pub fn join(
         &self,
         config: &Config,
         inputs: &Inputs,
         clock: Clock,
+        state: Option<&State>,
     ) -> Result<Option<Fleet>, (String, ExitCode)> {
         let section = &self.holds.fleet;
         if !section.enabled {
@@ -122,7 +132,7 @@
         }
         let zone = config.decoded.settings.zone.map_or("", |zone| config.decoded.zones.name(zone));
         let zone = zone.get(..LONGEST_NAME).unwrap_or(zone);
-        match Fleet::join(section, &config.name, zone, inputs, clock) {
+        match Fleet::join(section, &config.name, zone, inputs, clock, state.and_then(State::incarnation)) {
             Ok(fleet) => Ok(Some(fleet)),
             Err(e) => {
                 let what = format!("cannot listen on fleet.listen {}: {e}", section.listen);
@@ -137,7 +147,11 @@
         observer: &Observer,
         inputs: &Inputs,
         fleet: Option<&Fleet>,
+        state: Option<&State>,
     ) -> Result<(), (String, ExitCode)> {
+        if let Some(state) = state {
+            state.host(inputs, config::written(&self.holds));
+        }
         let Some(figures) = observer.figures() else { return Ok(()) };
         let at = self.holds.metrics.address;
         let listener = std::net::TcpListener::bind(at)
@@ -150,10 +164,10 @@
         }
         spawn_local(Rc::clone(&figures).upkeep());
         let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&self.log));
-        let fleet = fleet.cloned();
+        let (fleet, state) = (fleet.cloned(), state.cloned());
         let pages = move |path: String| {
             let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&log));
-            let fleet = fleet.clone();
+            let (fleet, state) = (fleet.clone(), state.clone());
             async move {
                 if path == "/fleet" {
                     let text = serde_json::to_string_pretty(&fleet?.census()).ok()?;
@@ -165,6 +179,9 @@
                 if let Some(fleet) = &fleet {
                     observer.fleet(&fleet.census());
                 }
+                if let (Some(state), Some(figures)) = (&state, observer.figures()) {
+                    state.count(&figures);
+                }
                 let survey = inputs.survey().await?;
                 observer.page(&survey, log.dropped()).map(Page::metrics)
             }
--- /dev/null
+++ b/src/bin/tinflow/state.rs
@@ -0,0 +1,199 @@
+//! Hosts what is kept over crashes: what a life before knew goes to the engine, what this one knows goes to the writer.
+//! Changes with when something is handed over, and how it is told.
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::hosts::HostList;
+use crate::kept::{Lists, recalled};
+use crate::messages::{Input, Inputs, Named};
+use crate::report::say;
+use linenproxy_common::cli::Exit;
+use linenproxy_common::metering::Figures;
+use linenproxy_recovery::{
+    Begun, Believed, Changes, Directory, Found, Life, Micros, Process, Processes, StateSection, Writer,
+    believe,
+};
+use std::cell::{Cell, RefCell};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Longest name of a sidecar here, in bytes: with its cluster's it is the owner of what is kept.
+const LONGEST_NAME: usize = 200;
+/// How often pace is kept anew while no circuit opens or closes: a twelfth of the time for which it is believed.
+const PACE_EVERY: Micros = 5_000_000;
+/// How soon a disk that failed is tried again.
+const AGAIN: Duration = Duration::from_secs(10);
+
+/// What is kept, of a sidecar that runs.
+#[derive(Clone)]
+pub struct State(Rc<Inner>);
+
+struct Inner {
+    writer: Writer,
+    every: Duration,
+    clock: Clock,
+    life: Option<Life>,
+    lists: RefCell<Lists>,
+    known: RefCell<Vec<Process>>,
+    /// Endpoints whose circuits were open as verdicts were kept last, and when that was.
+    open: RefCell<Vec<String>>,
+    kept: Cell<Micros>,
+}
+
+impl State {
+    /// Begins a life of `name` in the directory of the section, where it names one; a list that is newer than the
+    /// platform's takes its place. Waits for the disk no longer than the section says.
+    pub fn begin(
+        section: &StateSection,
+        cluster: &str,
+        config: &mut Config,
+        clock: Clock,
+    ) -> Result<Option<Self>, (String, ExitCode)> {
+        let Some(dir) = section.dir.clone() else { return Ok(None) };
+        if config.name.is_empty() || config.name.len() > LONGEST_NAME {
+            let what = "state.dir needs a name of 1 to 200 bytes: LB_NAME, or name in the platform's file";
+            return Err((what.to_owned(), Exit::Config.into()));
+        }
+        let owner = format!("{cluster}/{}", config.name);
+        let take = move || Directory::take(&dir);
+        let (writer, begun) = Writer::start(take, owner, move || clock.now(), section.wait.0, AGAIN);
+        let now = clock.now();
+        let (life, believed) = match begun {
+            Begun::InUse(what) => return Err((format!("state.dir: {what}"), Exit::Unavailable.into())),
+            Begun::Without => (None, Believed::default()),
+            Begun::Found(found) => {
+                let life = Life { incarnation: found.incarnation, began: now, ended: None };
+                (Some(life), told(*found, now, section))
+            }
+        };
+        let lists = Lists::begin(believed.list, config);
+        let state = Self(Rc::new(Inner {
+            writer,
+            every: section.every.0,
+            clock,
+            life,
+            lists: RefCell::new(lists),
+            known: RefCell::new(believed.processes),
+            open: RefCell::default(),
+            kept: Cell::new(Micros::MIN),
+        }));
+        state.say();
+        Ok(Some(state))
+    }
+
+    /// This life's incarnation, where one could be reserved.
+    pub fn incarnation(&self) -> Option<u64> {
+        self.0.life.map(|life| life.incarnation)
+    }
+
+    /// A list, or changes to one.
+    pub fn listed(&self, list: &HostList, full: bool) {
+        self.0.lists.borrow_mut().take(list, full, self.0.clock.now());
+    }
+
+    /// Tells the engine what was known, and from now on keeps what it knows.
+    pub fn host(&self, inputs: &Inputs, configuration: String) {
+        let known = self.0.known.take();
+        if !known.is_empty() {
+            inputs.send(Input::Recalled(known.into_iter().map(recalled).collect()));
+        }
+        let first = Changes { configuration: Some(configuration), life: self.0.life, ..Changes::default() };
+        self.0.writer.keep(first);
+        let (this, inputs) = (self.clone(), inputs.clone());
+        spawn_local(async move {
+            loop {
+                sleep(this.0.every).await;
+                let Some((listed, known)) = inputs.recollect().await else { return };
+                let changes = this.changes(listed, known, false);
+                this.0.writer.keep(changes);
+                this.say();
+            }
+        });
+    }
+
+    /// The process is told to stop: hands over what it knows, marked as a clean end. Whether that is written in time is
+    /// not waited for; it has as long as requests are still accepted.
+    pub fn stop(&self, inputs: &Inputs) {
+        let (this, inputs) = (self.clone(), inputs.clone());
+        spawn_local(async move {
+            let Some((listed, known)) = inputs.recollect().await else { return };
+            let mut changes = this.changes(listed, known, true);
+            let ended = Some(this.0.clock.now());
+            changes.life = this.0.life.map(|life| Life { ended, ..life });
+            this.0.writer.keep_last(changes);
+        });
+    }
+
+    /// What is worth keeping anew.
+    fn changes(&self, listed: usize, known: Vec<Named>, last: bool) -> Changes {
+        let (now, inner) = (self.0.clock.now(), &self.0);
+        let mut open: Vec<String> =
+            known.iter().filter(|(_, k)| k.open).map(|(name, _)| name.clone()).collect();
+        open.sort_unstable();
+        let due = now.saturating_sub(inner.kept.get()) >= PACE_EVERY && !known.is_empty();
+        let list = inner.lists.borrow_mut().due(now, last);
+        let processes = (last || due || *inner.open.borrow() != open).then(|| {
+            inner.kept.set(now);
+            inner.open.replace(open);
+            let all = known.into_iter().map(process).collect();
+            Processes { seen: now, listed: u32::try_from(listed).unwrap_or(u32::MAX), all }
+        });
+        Changes { list, processes, ..Changes::default() }
+    }
+
+    /// Says what the writer has to say.
+    fn say(&self) {
+        for line in self.0.writer.lines() {
+            say!(warn, "tinflow::state", "{line}");
+        }
+    }
+
+    /// Brings its figures up to date.
+    pub fn count(&self, figures: &Figures) {
+        let counts = self.0.writer.counts();
+        for (name, what, total) in [
+            ("tinflow_state_commits_total", "Commits of what is kept, each with a sync.", counts.commits),
+            ("tinflow_state_bytes_total", "Bytes of payload in them.", counts.bytes),
+            ("tinflow_state_coalesced_total", "Changes replaced by later ones unwritten.", counts.coalesced),
+            (
+                "tinflow_state_failures_total",
+                "Times that the disk did not do what was asked.",
+                counts.failures,
+            ),
+            ("tinflow_state_set_aside_total", "Files that were not believed.", counts.asides),
+        ] {
+            figures.counter(name, what, &[]).absolute(total);
+        }
+        let failing = figures.gauge("tinflow_state_failing", "1 while nothing can be kept.", &[]);
+        failing.set(f64::from(u8::from(counts.failing)));
+    }
+}
+
+/// Says what was found; what of it is believed.
+fn told(found: Found, now: Micros, section: &StateSection) -> Believed {
+    let Found { known, incarnation, .. } = found;
+    let end = match known.life {
+        None => "nothing was kept",
+        Some(Life { ended: Some(_), .. }) => "the last life ended cleanly",
+        Some(_) => "the last life ended without a word",
+    };
+    let believed = believe(known, now, section.bounds());
+    let endpoints = believed.list.as_ref().map_or(0, |list| list.entries.len());
+    let open = believed.processes.iter().filter(|p| p.open).count();
+    let rest: String = believed.left_out.iter().map(|what| format!(", {what}")).collect();
+    say!(
+        info,
+        "tinflow::state",
+        "{end}: {endpoints} endpoints, pace of {}, {open} open circuits{rest}; incarnation {incarnation}",
+        believed.processes.len()
+    );
+    believed
+}
+
+fn process((name, k): Named) -> Process {
+    let linenproxy::Recalled { started, seen, open, openings, slow, cap, .. } = k;
+    Process { name, started, seen, open, openings, slow, cap }
+}
--- a/tests/product/main.rs
+++ b/tests/product/main.rs
@@ -8,3 +8,4 @@
 mod harness;
 mod logs;
 mod metrics;
+mod state;
--- /dev/null
+++ b/tests/product/state.rs
@@ -0,0 +1,146 @@
+//! What is kept over crashes of real processes.
+
+use crate::harness::*;
+use crate::stubs::*;
+use std::path::Path;
+use std::sync::atomic::Ordering;
+
+/// A configuration with a state directory and a page of figures.
+fn keeping(dir: &Path, page: std::net::SocketAddr) -> File {
+    File::new(&metrics(page, &format!("[state]\ndir = \"{}\"\nevery = \"50ms\"\n", dir.display())))
+}
+
+fn directory() -> tempfile::TempDir {
+    tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).expect("a directory")
+}
+
+/// A figure of the page.
+fn figure(at: std::net::SocketAddr, name: &str) -> f64 {
+    let page = page(at, "/metrics");
+    page.lines().find_map(|l| l.strip_prefix(name)?.trim().parse().ok()).unwrap_or(-1.0)
+}
+
+fn threads(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/task")).expect("it runs").count()
+}
+
+fn files(dir: &Path) -> Vec<String> {
+    let names = std::fs::read_dir(dir).expect("it is there").flatten();
+    let mut names: Vec<_> = names.filter_map(|e| e.file_name().into_string().ok()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn after_a_kill_the_list_and_the_circuits_are_known_again() {
+    let (dir, discovery, at) = (directory(), Discovery::start(), unused_address());
+    let old = Endpoint::start(|_| served());
+    let [well, sick] = [served as fn() -> Reply, || Reply::Answer(500, "", Vec::new())];
+    let (well, sick) = (Endpoint::start(move |_| well()), Endpoint::start(move |_| sick()));
+    let named = [("s-2", well.address, "active"), ("s-3", sick.address, "active")];
+    discovery.publish(7, list(7, true, &named));
+    let file = keeping(dir.path(), at);
+    let (sidecar, said) = start_named("n1", &discovery, &old, &file);
+    await_that("nothing was kept", || said.count("nothing was kept: 0 endpoints") == 1);
+    discovery.await_watch(7);
+    await_that("the circuit opens", || {
+        ask(&sidecar);
+        figure(at, "tinflow_circuits_open ") == 1.0
+    });
+    let commits = figure(at, "tinflow_state_commits_total ");
+    await_that("that is kept", || figure(at, "tinflow_state_commits_total ") > commits);
+    drop(sidecar);
+    // Discovery is gone, and the platform only knows the one of old.
+    discovery.failing.store(true, Ordering::SeqCst);
+    let (before, seen) = (old.requests(), sick.requests());
+    let (sidecar, said) = start_named("n1", &discovery, &old, &file);
+    let line = "the last life ended without a word: 2 endpoints, pace of 2, 1 open circuits";
+    await_that("it says what it found", || said.count(line) == 1);
+    assert_eq!(figure(at, "tinflow_circuits_open "), 1.0);
+    for _ in 0..30 {
+        assert_eq!(ask(&sidecar), 200);
+    }
+    assert_eq!(old.requests(), before, "it is on no list any more");
+    assert!(sick.requests() <= seen + 2, "one trial at a time");
+    assert_eq!(files(dir.path()), ["known", "lock", "numbers"]);
+}
+
+#[test]
+fn a_second_process_on_a_directory_ends_with_one_line() {
+    let (dir, discovery) = (directory(), Discovery::start());
+    let endpoint = Endpoint::start(|_| served());
+    let file = keeping(dir.path(), unused_address());
+    let (sidecar, _said) = start_named("n1", &discovery, &endpoint, &file);
+    let platform = File::new(&config(unused_address(), discovery.address, "null"));
+    let [product, platform] = [&file, &platform].map(|f| f.0.to_str().expect("text").to_owned());
+    for (name, code, words) in [("n1", 69, "another process uses"), ("", 78, "state.dir needs a name")] {
+        let output = run(&["--config", &product], &[("LB_CONFIG", &platform), ("LB_NAME", name)]);
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(code), "{said}");
+        assert!(said.contains(words) && said.lines().count() == 1, "{said}");
+    }
+    assert_eq!(ask(&sidecar), 200);
+}
+
+#[test]
+fn a_directory_that_cannot_be_had_costs_one_line_and_a_figure() {
+    let (dir, discovery, at) = (directory(), Discovery::start(), unused_address());
+    let endpoint = Endpoint::start(|_| served());
+    std::fs::write(dir.path().join("n1"), b"").expect("a file in the way");
+    let file = keeping(&dir.path().join("n1"), at);
+    let (sidecar, said) = start_named("n1", &discovery, &endpoint, &file);
+    for _ in 0..20 {
+        assert_eq!(ask(&sidecar), 200);
+    }
+    assert_eq!((figure(at, "tinflow_state_failing "), said.count("nothing is kept for now")), (1.0, 1));
+    sidecar.terminate();
+    let mut sidecar = sidecar;
+    assert!(sidecar.process.wait().expect("it ends").success());
+}
+
+#[test]
+fn without_a_directory_there_is_no_thread_no_line_and_no_figure() {
+    let (discovery, at) = (Discovery::start(), unused_address());
+    let endpoint = Endpoint::start(|_| served());
+    let file = File::new(&metrics(at, ""));
+    let (sidecar, said) = start_named("n1", &discovery, &endpoint, &file);
+    assert_eq!((ask(&sidecar), threads(sidecar.process.id())), (200, 1));
+    assert!(!page(at, "/metrics").contains("tinflow_state") && said.count("state") == 0);
+}
+
+/// Lives that end in SIGKILL under load, at a different moment each, and one that is told to stop. `KILLS` in the
+/// environment says how many.
+#[test]
+fn killed_under_load_over_and_over_it_begins_each_life_with_a_new_number_and_sets_nothing_aside() {
+    let kills: u64 = std::env::var("KILLS").ok().and_then(|n| n.parse().ok()).unwrap_or(15);
+    let (dir, discovery) = (directory(), Discovery::start());
+    let endpoint = Endpoint::start(|_| served());
+    discovery.publish(2, list(2, true, &[("s-1", endpoint.address, "active")]));
+    let file = keeping(dir.path(), unused_address());
+    let mut last = 0;
+    let mut incarnation = |said: &Said| {
+        let word = "; incarnation ";
+        await_that("it tells its incarnation", || said.count(word) == 1);
+        let text = said.text();
+        let number = text.split(word).nth(1).and_then(|t| t.lines().next()?.trim().parse().ok());
+        let number: u64 = number.expect("a number");
+        assert!(std::mem::replace(&mut last, number) < number, "{text}");
+    };
+    for life in 0..kills {
+        let (sidecar, said) = start_named("n1", &discovery, &endpoint, &file);
+        incarnation(&said);
+        assert_eq!(said.count("set aside"), 0, "{}", said.text());
+        for _ in 0..life * 7 % 40 {
+            assert_eq!(ask(&sidecar), 200);
+        }
+    }
+    let (mut sidecar, said) = start_named("n1", &discovery, &endpoint, &file);
+    incarnation(&said);
+    assert!(said.count("ended without a word") == 1, "{}", said.text());
+    sidecar.terminate();
+    assert!(sidecar.process.wait().expect("it ends").success());
+    let (_sidecar, said) = start_named("n1", &discovery, &endpoint, &file);
+    incarnation(&said);
+    assert_eq!(said.count("the last life ended cleanly"), 1, "{}", said.text());
+    assert_eq!(files(dir.path()), ["known", "lock", "numbers"]);
+}
