--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -58,6 +58,8 @@
     LeastCapacity,
     /// Acts that the platform refused as their token was too low.
     TokensRefused,
+    /// Faults of stewards that happened.
+    StewardFaults,
     /// Time until the last sidecar found that there was a cut, in seconds; the longest of all cuts.
     CutFoundS,
     /// Part of the sidecars that did not find a cut before it was over, over all cuts.
@@ -80,7 +82,7 @@
 
 impl Measure {
     /// All of them.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 36] = [
         Self::Served,
         Self::ServedWorstClass,
         Self::ServedWorstSecond,
@@ -107,6 +109,7 @@
         Self::CapacityBreaches,
         Self::LeastCapacity,
         Self::TokensRefused,
+        Self::StewardFaults,
         Self::CutFoundS,
         Self::CutMissed,
         Self::CutEndsS,
