--- a/src/bin/tinflow/listed.rs
+++ b/src/bin/tinflow/listed.rs
@@ -9,7 +9,7 @@
 use linenproxy::settings::Names;
 #[cfg(feature = "product")]
 use linenproxy::{Balancer, Recalled};
-use linenproxy::{Listing, Status};
+use linenproxy::{ListUpdate, Listing, Status};
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -48,6 +48,16 @@
         self.endpoints.name(id)
     }
 
+    /// Discovery has answered; returns what the module, which `knows` some endpoints, is to hear.
+    pub fn answered(&mut self, list: HostList, knows: impl Fn(usize) -> bool) -> ListUpdate {
+        if let Some(fleet) = &self.fleet {
+            fleet.list_seen();
+        }
+        let full = list.snapshot;
+        let listings = self.apply(list, full, knows);
+        if full { ListUpdate::Full(listings) } else { ListUpdate::Delta(listings) }
+    }
+
     /// Brings the sockets' view of the endpoints up to date, before the module, which `knows` some, can send anything
     /// more; returns what it is to hear.
     pub fn apply(&mut self, list: HostList, full: bool, knows: impl Fn(usize) -> bool) -> Vec<Listing> {
@@ -83,7 +93,7 @@
             self.pool.keep_only(&listed);
         }
         if let Some(fleet) = &self.fleet {
-            fleet.listed(full, &listings, |id| self.endpoints.name(id));
+            fleet.listed(full, &listings, |id| self.endpoints.name(id), |zone| self.zones.name(zone));
         }
         listings
     }
