--- a/src/bin/tinflow/fleet.rs
+++ b/src/bin/tinflow/fleet.rs
@@ -34,12 +34,13 @@
         zone: &str,
         inputs: &Inputs,
         clock: Clock,
+        incarnation: Option<u64>,
     ) -> io::Result<Self> {
         let inputs = inputs.clone();
         let told = Rc::new(move |words: Vec<linenproxy_fleet::core::Word>| {
             inputs.send(Input::Words(words.into_iter().map(word).collect()));
         });
-        let member = udp::Fleet::bind(section, name, zone, Rc::new(move || clock.now()), told)?;
+        let member = udp::Fleet::bind(section, name, zone, Rc::new(move || clock.now()), told, incarnation)?;
         member.set_version(cli::VERSION);
         member.on_notes(Rc::new(|note| note_down(&note)));
         spawn_local(member.clone().run());
