--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -2,7 +2,7 @@
 
 use super::mix::begins_old;
 use super::stage::{Sidecar, Stage};
-use super::{FLEET, Launch, METRICS, PlayError, Tasks};
+use super::{FLEET, Launch, METRICS, PlayError, STATE, Tasks};
 use crate::agent::Agent;
 use crate::catalogue::Catalogue;
 use crate::datagrams::Datagrams;
@@ -116,8 +116,12 @@
                 let metrics = free(host(5, sidecar)).map_err(io("no address for a sidecar's pages"))?;
                 pages.push(metrics);
                 let section = fronts.as_ref().map(|f| f.section(sidecar, spec.clock_offset_ms));
+                // Nothing of an earlier play, but all of earlier lives in this one.
+                let state = folder.join(format!("n{sidecar}-state"));
+                emptied(&state).map_err(io("cannot empty a sidecar's state"))?;
                 let filled = |config: &str| {
                     let config = config.replace(METRICS, &metrics.to_string());
+                    let config = config.replace(STATE, &state.display().to_string());
                     section.as_ref().map_or(config.clone(), |section| config.replace(FLEET, section))
                 };
                 let whole = std::mem::take(&mut variant.config);
@@ -196,3 +200,11 @@
         under_way: Mutex::default(),
     })
 }
+
+/// Removes a directory, where there is one.
+fn emptied(directory: &Path) -> io::Result<()> {
+    match std::fs::remove_dir_all(directory) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+        _ => Ok(()),
+    }
+}
