Tell bindings along with pulses, and conclude contact through members that stand for all

Nobody hosts bindings yet. Spread piece by piece through the carrier, each word would have cost some 90 bytes nine times; contact was the host's business, and most members cannot be heard directly within a second at a flat cost. Now words go as rumours with pulses (three rounds of four sends, some 13 bytes each), and pulses tell when the sender heard of 16 members drawn by name; a quorum of 10 is contact. Epochs may be skipped, so a token can be one. What an earlier life reported clear holds for the next one. A clear also waits until all keys have moved and the last request by a binding has ended. Section fleet.bindings is in the fleet's; single members may be sent 1,024 bytes.

--- /dev/null
+++ b/crates/bindings/src/contact.rs
@@ -0,0 +1,195 @@
+//! Whom this member has heard, itself or through others, and so since when it is in contact. Changes with what counts as
+//! contact.
+//!
+//! Some members stand for all: the *beacons*, drawn by their names, the same at every member that knows the same ones. Each
+//! pulse tells how long ago its sender heard of each of them, by itself or by pulses of others; as every pulse says all that
+//! its sender knows of who left, whoever heard of a beacon knows what that beacon knew. A member is in contact as of the
+//! instant since which it has heard of a quorum: any two quorums have a beacon in common, also where the two members know
+//! beacons that differ by a few.
+
+use crate::{Micros, mix};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Members that stand for all, where there are as many.
+pub const MOST_BEACONS: usize = 16;
+/// Eighths of the beacons that a quorum has, rounded up: 10 of 16, so that two members whose beacons differ by three still
+/// have one in common.
+const QUORUM_EIGHTHS: usize = 5;
+/// Ages are told in steps of so much, rounded up, and not at all from the longest on.
+const STEP: Micros = 10_000;
+const LONGEST: Micros = 60_000_000;
+/// Draws the beacons.
+const DRAW: u64 = 0x6265_6163;
+
+/// What a pulse tells of a beacon: the lower half of its number, twice its age in steps, plus 1 where it knew who left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told([u8; 4], u32);
+
+/// When a beacon was heard of, by its clock: at all, and knowing who left.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heard {
+    number: u64,
+    at_all: Option<Micros>,
+    sound: Option<Micros>,
+}
+
+/// Whom this member has heard.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    me: u64,
+    beacons: BTreeMap<[u8; 4], Heard>,
+}
+
+fn short(number: u64) -> [u8; 4] {
+    (number as u32).to_le_bytes()
+}
+
+impl Contact {
+    /// One that knows nobody: it is not in contact before it has been told who is there.
+    pub fn new(me: u64) -> Self {
+        Self { me, beacons: BTreeMap::new() }
+    }
+
+    /// Those are all members, this one too: who runs, and who may still run without being heard.
+    pub fn roster(&mut self, members: impl Iterator<Item = u64>) {
+        let mut drawn: Vec<u64> = members.collect();
+        drawn.sort_unstable_by_key(|number| (mix(*number, DRAW), *number));
+        drawn.dedup();
+        drawn.truncate(MOST_BEACONS);
+        let heard = |number: u64| {
+            let known = self.beacons.get(&short(number)).filter(|heard| heard.number == number);
+            known.copied().unwrap_or(Heard { number, ..Heard::default() })
+        };
+        self.beacons = drawn.into_iter().map(|number| (short(number), heard(number))).collect();
+    }
+
+    /// What a pulse tells of them at that instant.
+    pub fn told(&self, now: Micros, sound: bool) -> Vec<Told> {
+        let told = |(short, heard): (&[u8; 4], &Heard)| {
+            let (at, knew) = match self.heard_at(heard, now, sound) {
+                (_, Some(knew)) if now - knew < LONGEST => (knew, true),
+                (at, _) => (at?, false),
+            };
+            let steps = u32::try_from((now - at).max(0).div_euclid(STEP) + 1).ok()?;
+            (now - at < LONGEST).then_some(Told(*short, steps * 2 + u32::from(knew)))
+        };
+        self.beacons.iter().filter_map(told).collect()
+    }
+
+    fn heard_at(&self, heard: &Heard, now: Micros, sound: bool) -> (Option<Micros>, Option<Micros>) {
+        match heard.number == self.me {
+            true => (Some(now), sound.then_some(now).or(heard.sound)),
+            false => (heard.at_all, heard.sound),
+        }
+    }
+
+    /// A pulse of that time told this, and all that it says of who left was taken in.
+    pub fn heard(&mut self, stamp: Micros, told: &[Told]) {
+        for Told(short, packed) in told.iter().take(MOST_BEACONS) {
+            let at = stamp.saturating_sub(Micros::from(packed / 2).saturating_mul(STEP));
+            if let Some(heard) = self.beacons.get_mut(short) {
+                heard.at_all = heard.at_all.max(Some(at));
+                if packed % 2 == 1 {
+                    heard.sound = heard.sound.max(Some(at));
+                }
+            }
+        }
+    }
+
+    /// Since when a quorum was heard of: beacons that knew who left, or any.
+    fn quorum(&self, now: Micros, sound: bool, any: bool) -> Option<Micros> {
+        let at = |heard: &Heard| {
+            let (at_all, knew) = self.heard_at(heard, now, sound);
+            if any { at_all.max(knew) } else { knew }
+        };
+        let mut heard: Vec<Micros> = self.beacons.values().filter_map(at).collect();
+        heard.sort_unstable_by_key(|at| std::cmp::Reverse(*at));
+        let quorum = (self.beacons.len() * QUORUM_EIGHTHS).div_ceil(8);
+        heard.get(quorum.checked_sub(1)?).map(|at| (*at).min(now))
+    }
+
+    /// Since when a quorum was heard of that knew who left, by others' clocks.
+    pub fn since(&self, now: Micros, sound: bool) -> Option<Micros> {
+        self.quorum(now, sound, false)
+    }
+
+    /// Since when a quorum was heard of at all.
+    pub fn met(&self, now: Micros) -> Option<Micros> {
+        self.quorum(now, false, true)
+    }
+
+    /// Beacons that were heard of since that instant.
+    pub fn beacons(&self, since: Micros) -> impl Iterator<Item = u64> {
+        let heard = move |heard: &&Heard| heard.sound.max(heard.at_all).is_some_and(|at| at >= since);
+        self.beacons.values().filter(heard).map(|heard| heard.number)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::hash;
+
+    const SECOND: Micros = 1_000_000;
+
+    fn number(i: u64) -> u64 {
+        hash(&i.to_le_bytes())
+    }
+
+    fn fleet(members: u64) -> Vec<Contact> {
+        let contact = |i| {
+            let mut contact = Contact::new(number(i));
+            contact.roster((0..members).map(number));
+            contact
+        };
+        (0..members).map(contact).collect()
+    }
+
+    /// Pulses each half second from all to four drawn anew, some lost; gives since when all are in contact after.
+    fn oldest(members: u64, lost: f64, cut: impl Fn(u64) -> bool) -> Vec<Option<Micros>> {
+        let (mut all, mut rng, mut now) = (fleet(members), fastrand::Rng::with_seed(7), 0);
+        for _ in 0..24 {
+            now += SECOND / 2;
+            let told: Vec<_> = all.iter().map(|c| c.told(now, true)).collect();
+            for from in 0..members {
+                for _ in 0..4 {
+                    let to = rng.u64(..members);
+                    if rng.f64() >= lost && cut(from) == cut(to) {
+                        all[to as usize].heard(now, &told[from as usize]);
+                    }
+                }
+            }
+        }
+        all.iter().map(|c| c.since(now, true).map(|at| now - at)).collect()
+    }
+
+    #[test]
+    fn contact_reaches_all_within_the_silence_and_ends_for_the_smaller_side_of_a_cut() {
+        for (members, lost) in [(1, 0.3), (2, 0.3), (5, 0.3), (60, 0.3), (300, 0.3), (3000, 0.0)] {
+            let ages = oldest(members, lost, |_| false);
+            let worst = ages.iter().map(|age| age.unwrap_or(Micros::MAX)).max().unwrap_or(0);
+            assert!(worst < 4 * SECOND, "{members} members: {worst}");
+        }
+        let beacons: Vec<u64> = fleet(60)[0].beacons.values().map(|h| h.number).collect();
+        // Six beacons on one side: ten are with the others.
+        let small = |i: u64| beacons[..6].contains(&number(i)) || i % 4 == 0 && !beacons.contains(&number(i));
+        let ages = oldest(60, 0.3, small);
+        for (i, age) in (0..).zip(ages) {
+            assert_eq!(age.is_some_and(|age| age < 5 * SECOND), !small(i), "{i}");
+        }
+    }
+
+    #[test]
+    fn who_knows_nobody_is_not_in_contact_and_fresh_beacons_are_met_but_no_sign() {
+        assert_eq!(Contact::new(1).since(5, true), None);
+        let mut all = fleet(3);
+        let told = all[1].told(SECOND, false);
+        all[0].heard(SECOND, &told);
+        assert_eq!(all[0].since(SECOND, true), None);
+        assert!(all[0].met(SECOND).is_some());
+        let told = all[1].told(SECOND, true);
+        all[0].heard(SECOND, &told);
+        assert!(all[0].since(SECOND, true).is_some());
+    }
+}
--- a/crates/bindings/src/exchange.rs
+++ b/crates/bindings/src/exchange.rs
@@ -12,16 +12,18 @@
 const PULSE: Micros = 500_000;
 /// Members that are answered at a time, and keys in one turn of an answer: they fit into one piece or two.
 const MOST_ASKED: usize = 4;
-const ANSWER: usize = 16;
+const ANSWER: usize = 32;
+/// Words that wait from which on there is a pulse between: as many as fit into one.
+const MANY: usize = 40;
 /// Least room of a pulse for members that are clear of a process.
 const REPORT_ROOM: usize = 48;
 
 impl Bindings {
-    /// A piece came from a member. Gives whether it is a sign of contact: it came in time, from one that knows who left.
+    /// A piece came from a member.
     ///
     /// # Errors
     /// Why it was refused; nothing of it was taken in.
-    pub fn hear(&mut self, now: Micros, from: u64, bytes: &[u8]) -> Result<bool, Refused> {
+    pub fn hear(&mut self, now: Micros, from: u64, bytes: &[u8]) -> Result<(), Refused> {
         let read = Piece::read(bytes).and_then(|piece| match piece.stamp <= now + self.times.skew {
             true => Ok(piece),
             false => Err(Refused::Clock),
@@ -34,6 +36,11 @@
         }
         for (process, epoch, member) in piece.reports() {
             self.phases.report(process, epoch, member);
+            // What an earlier life of this member said holds for this one too.
+            if member == self.member && self.phases.ended(process, epoch) && self.table.holds(process) {
+                let phases = &self.phases;
+                self.table.retain(|_, of, word| of != process || !phases.ended(of, word.era));
+            }
         }
         for (key, process, mut word) in piece.each_word() {
             if !self.guards.ages_from_use {
@@ -41,11 +48,19 @@
             }
             let ended = self.phases.ended(process, word.era) && self.guards.refuses_ended;
             let counts = word.last(&self.times) <= newest && oldest < word.ends && !ended;
-            match counts && self.table.merge(key, process, word) {
-                true => self.census.heard += 1,
-                false => self.census.passed_over += 1,
+            if !counts || !self.table.merge(key, process, word) {
+                self.census.passed_over += 1;
+                continue;
+            }
+            self.census.heard += 1;
+            if piece.news {
+                self.rumours.add(key, process);
             }
         }
+        // Who has no room for who left does not know what the sender did.
+        if self.phases.whole() {
+            self.contact.heard(piece.stamp, &piece.heard);
+        }
         if piece.asks && self.asked.len() < MOST_ASKED && self.asked.iter().all(|(who, _)| *who != from) {
             self.asked.push_back((from, None));
         }
@@ -55,34 +70,53 @@
         if let Some(floor) = piece.floor.filter(|(slot, _)| *slot <= newest + self.times.life_held) {
             self.table.raise(floor);
         }
-        let in_time = piece.stamp >= now - self.times.late - self.times.skew;
-        Ok(piece.sound && in_time && (self.hearing.sound() || piece.stamp > self.begun))
+        Ok(())
+    }
+
+    /// Says at an instant of both clocks since when it is in contact. One that starts is so only by what was said after it
+    /// began; where a quorum was heard and most of it has just started too, nobody there knows more.
+    fn follow(&mut self, now: Micros, mono: Micros) {
+        let sound = self.hearing.sound();
+        if let Some(at) = self.contact.since(now, sound).filter(|at| sound || *at > self.begun) {
+            self.hearing.contact(mono - (now - at));
+        } else if !sound && now >= self.begun + self.times.silence {
+            let met =
+                self.contact.met(now).is_some_and(|at| at > self.begun && now - at < self.times.silence);
+            self.hearing.founds(met);
+        }
     }
 
     /// Every [`TICK`]: ages out what is past its life and says what is to be sent.
-    pub fn tick(&mut self, now: Micros) -> Told {
+    pub fn tick(&mut self, now: Micros, mono: Micros) -> Told {
+        self.follow(now, mono);
         let slot = self.times.slot(now);
         if slot != self.slot {
             self.slot = slot;
             self.turn_of_slot(slot);
         }
-        let phases = &self.phases;
-        let era = |process| Some(phases.era(process)).filter(|era| !phases.ended(process, *era));
-        let words = self.telling.due_now(now, &self.table, &self.times, era);
-        for (key, process, word) in &words {
-            self.census.told += 1;
-            self.table.merge(*key, *process, *word);
-        }
         let mut told = Told::default();
-        told.spread.extend(Piece::words(now, words).iter().map(Piece::bytes));
-        if now >= self.pulses_at.saturating_add(PULSE) || now < self.pulses_at {
+        let due = now >= self.pulses_at.saturating_add(PULSE) || now < self.pulses_at;
+        // What does not fit into one pulse goes with one between.
+        if due || self.rumours.len() > MANY && now >= self.pulses_at + PULSE / 2 {
             self.pulses_at = now;
+            self.tell(now);
             told.nearby = Some(self.pulse(now));
         }
         told.direct.extend(self.answer(now));
         told
     }
 
+    /// Own uses that the others need to know of become words.
+    fn tell(&mut self, now: Micros) {
+        let phases = &self.phases;
+        let era = |process| Some(phases.era(process)).filter(|era| !phases.ended(process, *era));
+        for (key, process, word) in self.telling.due_now(now, PULSE, &self.table, &self.times, era) {
+            self.census.told += 1;
+            self.table.merge(key, process, word);
+            self.rumours.add(key, process);
+        }
+    }
+
     fn turn_of_slot(&mut self, slot: Slot) {
         let (phases, times) = (&self.phases, &self.times);
         self.table.age(slot);
@@ -101,7 +135,10 @@
     /// What is told to a few again and again: who left, who is clear, what was dropped.
     pub(crate) fn pulse(&mut self, now: Micros) -> Vec<u8> {
         let mut piece = Piece::at(now);
-        piece.sound = self.hearing.sound() && self.phases.whole();
+        let sound = self.hearing.sound() && self.phases.whole();
+        if self.phases.whole() {
+            piece.heard = self.contact.told(now, sound);
+        }
         piece.asks = self.asks > 0;
         piece.floor = self.table.floor();
         self.asks = self.asks.saturating_sub(1);
@@ -118,6 +155,18 @@
             }
             piece.report(process, phase.epoch, around);
         }
+        let slot = self.times.slot(now);
+        let (mut over, mut words) = (Vec::new(), Vec::new());
+        for (key, process) in self.rumours.waiting() {
+            match self.table.at(key, process).filter(|word| slot < word.ends) {
+                Some(word) => words.push((key, process, word)),
+                None => over.push((key, process)),
+            }
+        }
+        over.into_iter().for_each(|of| self.rumours.went(of, true));
+        let base = words.iter().map(|(.., word)| word.ends).max().unwrap_or(slot);
+        let went = piece.news(base, words.into_iter());
+        went.into_iter().for_each(|of| self.rumours.went(of, false));
         piece.bytes()
     }
 
--- a/crates/bindings/src/hearing.rs
+++ b/crates/bindings/src/hearing.rs
@@ -26,6 +26,11 @@
         self.sound = true;
     }
 
+    /// Most of those that it met know as little as it does who left, as all have just started: together they found the fleet.
+    pub fn founds(&mut self, they_do: bool) {
+        self.sound |= they_do;
+    }
+
     /// It knows that it is out of contact.
     pub fn parted(&mut self) {
         self.until = None;
--- a/crates/bindings/src/lib.rs
+++ b/crates/bindings/src/lib.rs
@@ -4,13 +4,15 @@
 //! form a join semilattice: whatever is lost, repeated or reordered, the same words make the same table. What is gone
 //! follows from a word and the hour alone, so that a late word revives nothing. docs/bindings.md states the rules.
 //!
-//! - [`section`]: the `[bindings]` section of a product configuration.
+//! - [`section`]: the `[fleet.bindings]` section of a product configuration.
 //! - [`time`]: slots that all members count alike.
 //! - [`word`]: processes, words on uses, and their merge for one key.
 //! - [`table`]: words on all keys, bounded.
 //! - [`phase`]: processes that leave or have come back, and who is clear of them.
+//! - [`contact`]: whom this member has heard, itself or through others.
 //! - [`hearing`]: whether this member may still hear the others.
 //! - [`telling`]: what is told, and when.
+//! - [`rumour`]: words that are passed on.
 //! - [`piece`]: what goes from member to member.
 //! - [`exchange`]: what members send each other and make of it.
 //! - [`report`]: what a member gives out.
@@ -20,6 +22,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod contact;
 pub mod exchange;
 mod guards;
 pub mod hearing;
@@ -29,6 +32,7 @@
 pub mod phase;
 pub mod piece;
 pub mod report;
+pub mod rumour;
 pub mod section;
 pub mod table;
 pub mod telling;
--- a/crates/bindings/src/member.rs
+++ b/crates/bindings/src/member.rs
@@ -1,10 +1,12 @@
 //! A member's bindings as one state machine without I/O and clock. Changes with what the host tells it and asks of it.
 
 use crate::Micros;
+use crate::contact::Contact;
 use crate::guards::Guards;
 use crate::hearing::Hearing;
 use crate::phase::{NotBegun, Phase, Phases};
 use crate::report::{Census, Clear};
+use crate::rumour::Rumours;
 use crate::table::{Rank, Table};
 use crate::telling::{Rates, Telling};
 use crate::time::{Slot, Times};
@@ -22,7 +24,9 @@
     pub(crate) member: u64,
     pub(crate) table: Table,
     pub(crate) telling: Telling,
+    pub(crate) rumours: Rumours,
     pub(crate) phases: Phases,
+    pub(crate) contact: Contact,
     pub(crate) hearing: Hearing,
     /// Requests under way that may go by a binding, by process.
     pub(crate) under_way: HashMap<Process, u32>,
@@ -39,12 +43,14 @@
 }
 
 impl Bindings {
-    /// Those of a member by that number, one for each life of it, that begins now. One that `founds` the fleet asks nobody.
+    /// Those of a member by that number, the same in all its lives, that begins now. One that `founds` the fleet asks nobody.
     pub fn new(now: Micros, times: Times, keys: usize, rates: Rates, member: u64, founds: bool) -> Self {
         Self {
             table: Table::new(keys, member),
             telling: Telling::new(rates, member),
+            rumours: Rumours::default(),
             phases: Phases::default(),
+            contact: Contact::new(member),
             hearing: Hearing::new(times.silence, founds),
             under_way: HashMap::new(),
             asked: VecDeque::new(),
@@ -60,12 +66,13 @@
         }
     }
 
-    /// This member is in contact with the others at that instant of its monotonic clock.
-    pub fn contact(&mut self, mono: Micros) {
-        self.hearing.contact(mono);
+    /// Those are all members, this one too: who runs, and who may still run without being heard.
+    pub fn roster(&mut self, members: &[u64]) {
+        self.contact.roster(members.iter().copied());
+        self.telling.set_members(members.len());
     }
 
-    /// It knows that it is not.
+    /// It knows that it is out of contact.
     pub fn parted(&mut self) {
         self.hearing.parted();
     }
@@ -124,16 +131,30 @@
         self.phases.merge(process, Phase { epoch, leaves: false, since: Reverse(self.times.slot(now)) })
     }
 
-    /// How far it is clear, where `roster` are all members that are heard from. It is once all of them, this one too, are
-    /// clear of it and whoever is not heard has fallen silent by its own clock.
-    pub fn clear(&mut self, mono: Micros, process: Process, epoch: u64, roster: &[u64]) -> Clear {
-        let known = self.phases.iter().any(|(p, phase)| p == process && phase.epoch == epoch && phase.leaves);
+    /// How far it is clear, where `running` are all members that are known to run. It is once all of them, this one and all
+    /// beacons that were heard of are clear of it and whoever is not heard has fallen silent by its own clock.
+    pub fn clear(
+        &mut self,
+        now: Micros,
+        mono: Micros,
+        process: Process,
+        epoch: u64,
+        running: &[u64],
+    ) -> Clear {
+        let phase =
+            self.phases.iter().find(|(p, phase)| *p == process && phase.epoch == epoch && phase.leaves);
+        let known = phase.is_some();
+        // Whoever knows that it leaves uses no binding from then on.
+        let moved = phase.is_some_and(|(_, phase)| now >= self.times.moved(phase.since.0));
+        let moved = moved || !self.guards.waits_for_silence;
         let reported = self.phases.reported(process).filter(|_| known);
         let (mine, reported) = (reported.clone().any(|m| m == self.member), reported.count());
         let hears = self.hearing.hears(mono) || !self.guards.falls_silent;
-        let all = if hears && mine { self.phases.complete(process, epoch, mono, roster) } else { None };
+        let mut roster = running.to_vec();
+        roster.extend(self.contact.beacons(now - self.times.silence));
+        let all = if hears && mine { self.phases.complete(process, epoch, mono, &roster) } else { None };
         let waits = if self.guards.waits_for_silence { self.times.clear_after() } else { 0 };
-        Clear { clear: all.is_some_and(|since| mono - since >= waits), known, mine, reported }
+        Clear { clear: moved && all.is_some_and(|since| mono - since >= waits), known, mine, reported }
     }
 
     /// Forgets processes that left and are listed no more.
@@ -153,6 +174,8 @@
             keys: self.table.len(),
             phases: self.phases.iter().count(),
             waiting: self.telling.waiting(),
+            rumours: self.rumours.len(),
+            made_room: self.rumours.dropped,
             hears: self.hearing.hears(mono),
             dropped: self.table.dropped,
             untold: self.telling.dropped + self.census.untold,
--- a/crates/bindings/src/phase.rs
+++ b/crates/bindings/src/phase.rs
@@ -92,17 +92,15 @@
     }
 
     /// From that slot on a key bound at that process in that epoch binds elsewhere; none where the process stays. Keys
-    /// are parted evenly over the time, the same at every member: few move at a time.
+    /// are parted evenly over the time, the same at every member: few move at a time. Those of epochs before, too, as an epoch
+    /// may be skipped.
     pub fn moves(&self, key: u64, process: Process, era: u64, times: &Times) -> Option<Slot> {
         let phase = self.known.get(&process)?.phase;
-        match (era == phase.epoch && phase.leaves, self.ended(process, era)) {
-            (true, _) => {
-                let place = mix(key, process.name).rem_euclid(times.moving.unsigned_abs());
-                Some(phase.since.0.saturating_add(place.cast_signed()))
-            }
-            (false, true) => Some(Slot::MIN),
-            (false, false) => None,
+        if era > phase.epoch || era == phase.epoch && !phase.leaves {
+            return None;
         }
+        let place = mix(key, process.name).rem_euclid(times.moving.unsigned_abs());
+        Some(if phase.leaves { phase.since.0.saturating_add(place.cast_signed()) } else { Slot::MIN })
     }
 
     /// All that are known.
@@ -174,6 +172,8 @@
             *by_slot.entry(phases.moves(key, P, 0, &times).expect("it leaves")).or_insert(0) += 1;
         }
         assert_eq!(by_slot.keys().next_back(), Some(&(99 + times.moving)));
+        phases.merge(P, leaves(17, 100)).expect("it is known");
+        assert!(phases.moves(1, P, 0, &times).is_some_and(|slot| slot >= 100), "of an epoch before");
         let even = 4096 / times.moving;
         assert!(by_slot.values().all(|n| *n < even * 3 / 2), "{by_slot:?}");
     }
--- a/crates/bindings/src/piece.rs
+++ b/crates/bindings/src/piece.rs
@@ -3,14 +3,15 @@
 //! A byte for the version of the form, then a [`Piece`] by postcard.
 
 use crate::Micros;
+use crate::contact::Told as Met;
 use crate::phase::Phase;
 use crate::time::Slot;
 use crate::word::{Process, Word};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 
-/// Longest piece in bytes, so that two fit into a datagram with what else is said.
-pub const LONGEST: usize = 512;
+/// Longest piece in bytes: what is left of a datagram of 1,200 beside heads and some evidence.
+pub const LONGEST: usize = 1024;
 const VERSION: u8 = 1;
 /// Longest slots back from a piece's own that a word may lie: a day of slots of a millisecond.
 const FARTHEST: u64 = 86_400_000;
@@ -40,14 +41,16 @@
 pub struct Piece {
     /// When it was written, by the sender's clock.
     pub stamp: Micros,
-    /// It is a sign of contact: the sender knows who has left.
-    pub sound: bool,
     /// The sender asks for all bindings.
     pub asks: bool,
     /// The last one of an answer.
     pub ends: bool,
+    /// Its words are news, to be passed on.
+    pub news: bool,
     /// Entries up to that rank were dropped somewhere: they are everywhere.
     pub floor: Option<(Slot, u64)>,
+    /// Whom the sender has heard.
+    pub heard: Vec<Met>,
     base: Slot,
     phases: Vec<Told>,
     reports: Vec<Report>,
@@ -83,6 +86,31 @@
         }
     }
 
+    /// Adds words that end no later than that, as many as fit; gives those that did.
+    pub fn news(
+        &mut self,
+        base: Slot,
+        words: impl Iterator<Item = (u64, Process, Word)>,
+    ) -> Vec<(u64, Process)> {
+        (self.news, self.base) = (true, base);
+        let (mut length, mut taken) = (self.bytes().len() + 4, Vec::new());
+        for (key, of, word) in words {
+            let back = base.saturating_sub(word.ends).max(0).cast_unsigned();
+            let at = self.groups.iter().position(|(n, era, _)| *n == name(of) && *era == word.era);
+            length += 8 + varint(back * 2 + 1) + if at.is_some() { 0 } else { 8 + 10 + varint(word.era) + 2 };
+            if length > LONGEST {
+                break;
+            }
+            let at = at.unwrap_or_else(|| {
+                self.groups.push((name(of), word.era, Vec::new()));
+                self.groups.len() - 1
+            });
+            self.groups[at].2.push((key.to_le_bytes(), back * 2 + u64::from(word.held)));
+            taken.push((key, of));
+        }
+        taken
+    }
+
     /// Pieces with these words, as few as hold them.
     pub fn words(stamp: Micros, mut words: Vec<(u64, Process, Word)>) -> Vec<Self> {
         words.sort_by_key(|(key, process, word)| (*process, word.era, *key));
@@ -212,8 +240,17 @@
             let phase = Phase { epoch: 1000, leaves: true, since: Reverse(4_000_000_000) };
             piece.phase(Process { name: i, started: 1_900_000_000_000 }, phase);
         }
+        let mut contact = crate::contact::Contact::new(0);
+        contact.roster((0..100).map(|n| crate::hash(&[n])));
+        let sure = contact.told(0, true);
+        piece.heard = (0..crate::contact::MOST_BEACONS).flat_map(|_| sure.first().copied()).collect();
         piece.report(Process { name: 1, started: 1_900_000_000_000 }, 1000, 0..1000);
         assert!(piece.bytes().len() <= LONGEST && piece.reports().count() >= 10, "{}", piece.bytes().len());
+        let word = Word { era: 0, ends: 90, held: true };
+        let mut piece = Piece::at(i64::MAX);
+        let told = piece.news(100, (0..1000).map(|key| (key, Process { name: key % 3, started: 5 }, word)));
+        let read = Piece::read(&piece.bytes()).expect("it fits");
+        assert_eq!((read.each_word().count(), told.len() > 60, read.news), (told.len(), true, true));
         assert_eq!(Piece::read(&[9, 9]), Err(Refused::Version));
     }
 }
--- a/crates/bindings/src/report.rs
+++ b/crates/bindings/src/report.rs
@@ -5,8 +5,6 @@
 /// What is to be sent.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Told {
-    /// To all members.
-    pub spread: Vec<Vec<u8>>,
     /// To a few members drawn anew each time: a pulse.
     pub nearby: Option<Vec<u8>>,
     /// To one member each.
@@ -35,6 +33,10 @@
     pub phases: usize,
     /// Own uses that wait to be told.
     pub waiting: usize,
+    /// Words that are still to be passed on, and those that made room for others.
+    pub rumours: usize,
+    /// See `rumours`.
+    pub made_room: u64,
     /// Bindings are used at present.
     pub hears: bool,
     /// Words told.
--- /dev/null
+++ b/crates/bindings/src/rumour.rs
@@ -0,0 +1,75 @@
+//! Words that are passed on until others have them. Changes with how often and in which order.
+//!
+//! What is told here, or was new here, goes along with pulses to members drawn anew each time (Demers et al., PODC 1987,
+//! p. 1, "rumor mongering" by counter): what went least often first, each time as the table has it by then.
+
+use crate::word::Process;
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+/// Pulses with which a word goes: of four sends each, 12. With three in ten lost, one member in 4,000 is missed by all who
+/// pass a word on.
+pub const ROUNDS: u8 = 3;
+/// Words that wait; what went most often makes room.
+const MOST: usize = 1024;
+
+/// Words that are to be passed on.
+#[derive(Clone, Debug, Default)]
+pub struct Rumours {
+    left: HashMap<(u64, Process), u8>,
+    /// Words that made room before they went as often as they should.
+    pub dropped: u64,
+}
+
+impl Rumours {
+    /// A word is new here.
+    pub fn add(&mut self, key: u64, process: Process) {
+        if self.left.len() >= MOST && !self.left.contains_key(&(key, process)) {
+            let least = self.left.iter().min_by_key(|(of, left)| (**left, **of)).map(|(of, _)| *of);
+            least.and_then(|of| self.left.remove(&of));
+            self.dropped += 1;
+        }
+        self.left.insert((key, process), ROUNDS);
+    }
+
+    /// All, those that went least often first.
+    pub fn waiting(&self) -> Vec<(u64, Process)> {
+        let mut waiting: Vec<_> = self.left.iter().map(|(of, left)| (Reverse(*left), *of)).collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(_, of)| of).collect()
+    }
+
+    /// One went once, or is over.
+    pub fn went(&mut self, of: (u64, Process), over: bool) {
+        if let Some(left) = self.left.get_mut(&of) {
+            *left = if over { 0 } else { *left - 1 };
+            if *left == 0 {
+                self.left.remove(&of);
+            }
+        }
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.left.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_goes_so_often_what_went_least_first_and_they_are_bounded() {
+        let (mut rumours, of) = (Rumours::default(), |key| (key, Process { name: 1, started: 0 }));
+        rumours.add(1, of(1).1);
+        rumours.went(of(1), false);
+        rumours.add(2, of(2).1);
+        assert_eq!(rumours.waiting(), [of(2), of(1)]);
+        (1..ROUNDS).for_each(|_| rumours.went(of(1), false));
+        rumours.went(of(2), true);
+        assert_eq!(rumours.len(), 0);
+        (0..2 * MOST as u64).for_each(|key| rumours.add(key, of(0).1));
+        assert_eq!((rumours.len(), rumours.dropped), (MOST, MOST as u64));
+    }
+}
--- a/crates/bindings/src/section.rs
+++ b/crates/bindings/src/section.rs
@@ -1,4 +1,4 @@
-//! The `[bindings]` section of a product configuration. Changes with what can be configured; docs/bindings.md is its
+//! The `[fleet.bindings]` section of a product configuration. Changes with what can be configured; docs/bindings.md is its
 //! reference.
 
 use crate::Micros;
@@ -70,7 +70,7 @@
     /// # Errors
     /// The key and why its value can't be used.
     pub fn check(&self) -> Result<(), Contradiction> {
-        let wrong = |key: &str, why: &str| Err(Contradiction::new(&format!("bindings.{key}"), why));
+        let wrong = |key: &str, why: &str| Err(Contradiction::new(&format!("fleet.bindings.{key}"), why));
         let times = self.times();
         let day = 86_400_000_000;
         for (key, time) in [
@@ -149,11 +149,11 @@
         let good = BindingsSection::default;
         assert!(good().check().is_ok());
         for (bad, key) in [
-            (BindingsSection { slot: Time::ms(0), ..good() }, "bindings.slot"),
-            (BindingsSection { life_new: Time::ms(2000), ..good() }, "bindings.life_new"),
-            (BindingsSection { life_held: Time::ms(5000), ..good() }, "bindings.life_held"),
-            (BindingsSection { keys: 0, ..good() }, "bindings.keys"),
-            (BindingsSection { words_per_s: f64::NAN, ..good() }, "bindings.words_per_s"),
+            (BindingsSection { slot: Time::ms(0), ..good() }, "fleet.bindings.slot"),
+            (BindingsSection { life_new: Time::ms(2000), ..good() }, "fleet.bindings.life_new"),
+            (BindingsSection { life_held: Time::ms(5000), ..good() }, "fleet.bindings.life_held"),
+            (BindingsSection { keys: 0, ..good() }, "fleet.bindings.keys"),
+            (BindingsSection { words_per_s: f64::NAN, ..good() }, "fleet.bindings.words_per_s"),
         ] {
             let said = bad.check().expect_err(key);
             assert!(said.key == key, "{said:?}");
--- a/crates/bindings/src/telling.rs
+++ b/crates/bindings/src/telling.rs
@@ -12,7 +12,7 @@
 use crate::{Micros, mix};
 use std::collections::{HashMap, VecDeque};
 
-/// Words told at once: they fit into two pieces, were each on another process.
+/// Words told at once: they fit into a pulse, were each on another process.
 const MOST_AT_ONCE: usize = 32;
 /// First uses that wait to be told; the one that waited longest makes room.
 const MOST_FRESH: usize = 1024;
@@ -51,6 +51,11 @@
         Self { rates, member, uses, fresh, tokens: LEAST_SAVED, filled: Micros::MAX, dropped: 0, guards }
     }
 
+    /// So many members are there.
+    pub fn set_members(&mut self, members: usize) {
+        self.rates.members = members.max(2) as f64;
+    }
+
     /// This member used a key there, which is bound there already or not.
     pub fn used(&mut self, key: u64, process: Process, slot: Slot, bound: bool) {
         if bound {
@@ -76,10 +81,11 @@
         latest * times.slot - over + (waits * over as f64) as Micros
     }
 
-    /// What is to be told at this instant.
+    /// What is to be told at this instant, so that nothing is late until the next one, `every` from now.
     pub fn due_now(
         &mut self,
         now: Micros,
+        every: Micros,
         table: &Table,
         times: &Times,
         era: impl Fn(Process) -> Option<u64>,
@@ -94,7 +100,7 @@
             if mine <= word {
                 continue;
             }
-            let due = now >= self.due(key, word, times) || !self.guards.tells_sparsely;
+            let due = now + every > self.due(key, word, times) || !self.guards.tells_sparsely;
             match due && self.guards.renews && told.len() < MOST_AT_ONCE {
                 true => told.push((key, process, mine)),
                 false => drop(self.uses.insert((key, process), last)),
@@ -162,10 +168,10 @@
         telling.used(7, process, 101, true);
         (0..100).for_each(|key| telling.used(1000 + key, process, 101, false));
         let now = 101 * times.slot;
-        let told = telling.due_now(now, &table, &times, |_| Some(0));
+        let told = telling.due_now(now, 0, &table, &times, |_| Some(0));
         assert_eq!((told.len(), told.iter().any(|(key, ..)| *key == 7)), (LEAST_SAVED as usize, false));
         let latest = (100 + times.life_held - times.spread - 1) * times.slot;
-        let told = telling.due_now(latest, &table, &times, |_| Some(0));
+        let told = telling.due_now(latest, 1, &table, &times, |_| Some(0));
         assert!(told.contains(&(7, process, Word::of(101, 0, true, &times))), "{told:?}");
     }
 }
--- a/crates/bindings/src/time.rs
+++ b/crates/bindings/src/time.rs
@@ -51,6 +51,12 @@
         self.silence + self.late + 2 * self.skew + self.longest_use
     }
 
+    /// When all keys of a process that leaves since that slot have moved by everybody's clock, and the last request that went by a
+    /// binding has ended.
+    pub fn moved(&self, since: Slot) -> Micros {
+        since.saturating_add(self.moving + 1).saturating_mul(self.slot) + 2 * self.skew + self.longest_use
+    }
+
     /// Slots for which it is remembered that a process left: until no word on it can be alive at any member.
     pub fn remembered(&self) -> Slot {
         let longest = self.slots(self.clear_after()) + self.moving + self.life_new.max(self.life_held);
--- a/crates/fleet/src/carrier.rs
+++ b/crates/fleet/src/carrier.rs
@@ -10,13 +10,16 @@
 
 /// Kinds of pieces that are carried for others. Those below are the fleet's own, those above nobody's yet.
 pub const CARRIED: RangeInclusive<u8> = 128..=191;
-/// Longest body of such a piece, in bytes: two and evidence fit into a datagram.
+/// Longest body of such a piece that spreads, in bytes: two and evidence fit into a datagram.
 pub const LONGEST_BODY: usize = 512;
+/// Longest body of one for a single member, in bytes: it has a datagram of 1,200 for itself.
+pub const LONGEST_DIRECT: usize = 1024;
 /// From this age on a piece is neither taken nor passed on: by then whoever is reached has it (nine sends at ten a second),
 /// and from then on nobody need remember that it came.
 pub const BOUND: Micros = 5 * SECOND;
-/// Pieces that a member gives to be spread, a second and at once; as many to single members.
+/// Pieces that a member gives to be spread, a second, and to single members; and at once.
 const RATE: f64 = 20.0;
+const RATE_DIRECT: f64 = 40.0;
 const BURST: f64 = 40.0;
 /// Pieces that wait to be passed on. The one that was passed on most often makes room, of those the one longest here.
 const MOST: usize = 256;
@@ -43,14 +46,19 @@
     pub body: &'a [u8],
 }
 
+/// Longest body of a piece that spreads, or of one that does not, in bytes.
+pub fn longest(spreads: bool) -> usize {
+    if spreads { LONGEST_BODY } else { LONGEST_DIRECT }
+}
+
 /// Why a piece is not carried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotCarried {
     /// Its kind is not in [`CARRIED`].
     Kind,
-    /// It is longer than [`LONGEST_BODY`].
+    /// It is longer than [`longest`] says.
     TooLong,
-    /// More than 20 a second, and 40 at once.
+    /// More than 20 a second (40 to single members), and 40 at once.
     TooMany,
     /// That member is not known to run.
     Nobody,
@@ -158,11 +166,11 @@
         if !CARRIED.contains(&kind) {
             return Err(NotCarried::Kind);
         }
-        if length > LONGEST_BODY {
+        if length > longest(spreads) {
             return Err(NotCarried::TooLong);
         }
-        let tokens = if spreads { &mut self.spread } else { &mut self.direct };
-        if !tokens.take(now, RATE, BURST) {
+        let (tokens, rate) = if spreads { (&mut self.spread, RATE) } else { (&mut self.direct, RATE_DIRECT) };
+        if !tokens.take(now, rate, BURST) {
             return Err(NotCarried::TooMany);
         }
         self.sequence += 1;
--- a/crates/fleet/src/core/carry.rs
+++ b/crates/fleet/src/core/carry.rs
@@ -83,7 +83,7 @@
         let Ok(letter) = postcard::from_bytes::<Letter<'_>>(bytes) else {
             return self.drop_one(Dropped::Malformed);
         };
-        if letter.body.len() > crate::carrier::LONGEST_BODY {
+        if letter.body.len() > crate::carrier::longest(letter.spreads) {
             return self.drop_one(Dropped::TooLong);
         }
         if letter.origin == self.origin {
--- a/crates/fleet/src/section.rs
+++ b/crates/fleet/src/section.rs
@@ -3,6 +3,7 @@
 
 use crate::Micros;
 use ipnet::{IpNet, Ipv4Net};
+use linenproxy_bindings::section::BindingsSection;
 use linenproxy_common::config::Contradiction;
 use linenproxy_common::units::Time;
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,8 @@
     pub affinity: Affinity,
     /// Where this member stands, and what follows.
     pub standing: StandingSection,
+    /// Which key is warm where, for all members; the host has it.
+    pub bindings: BindingsSection,
 }
 
 /// Where a member stands, and what follows.
@@ -103,6 +106,7 @@
             verdicts: Verdicts::default(),
             affinity: Affinity::default(),
             standing: StandingSection::default(),
+            bindings: BindingsSection::default(),
         }
     }
 }
@@ -156,7 +160,13 @@
         if !(0.0..=100.0).contains(&self.affinity.ahead) {
             return wrong("fleet.affinity.ahead", "0 to 100 turns");
         }
-        Ok(())
+        if self.bindings.enabled && !self.affinity.enabled {
+            return wrong(
+                "fleet.bindings.enabled",
+                "it needs fleet.affinity.enabled, within whose turns bindings are used",
+            );
+        }
+        self.bindings.check()
     }
 
     /// Where other members send to.
@@ -192,5 +202,7 @@
         assert_eq!(key(|s| s.verdicts.bound = Time::ms(3999)), "fleet.verdicts.bound");
         assert_eq!(key(|s| s.listen.set_ip([0, 0, 0, 0].into())), "fleet.advertise");
         assert_eq!(key(|s| s.affinity.ahead = -1.0), "fleet.affinity.ahead");
+        assert_eq!(key(|s| s.bindings.enabled = true), "fleet.bindings.enabled");
+        assert_eq!(key(|s| s.bindings.keys = 0), "fleet.bindings.keys");
     }
 }
--- a/crates/fleet/src/udp.rs
+++ b/crates/fleet/src/udp.rs
@@ -3,7 +3,7 @@
 
 use crate::carrier::NotCarried;
 use crate::census::Servers;
-use crate::core::{Carried, Census, Core, Listed, Word};
+use crate::core::{Carried, Census, Core, Listed, Others, Word};
 use crate::evidence::Sign;
 use crate::frame::LONGEST;
 use crate::section::FleetSection;
@@ -127,6 +127,16 @@
         self.with(|core, _| core.neighbours(most))
     }
 
+    /// The hash of the own name.
+    pub fn origin(&self) -> u64 {
+        self.core.borrow().origin()
+    }
+
+    /// Who is there; see [`Others`].
+    pub fn others(&self) -> Others {
+        self.with(|core, now| core.others(now))
+    }
+
     /// The list has changed.
     pub fn listed(&self, list: Vec<Listed>) {
         self.with(|core, now| core.listed(now, list));
