--- a/crates/bindings/src/contact.rs
+++ b/crates/bindings/src/contact.rs
@@ -173,7 +173,9 @@
         }
         let beacons: Vec<u64> = fleet(60)[0].beacons.values().map(|h| h.number).collect();
         // Six beacons on one side: ten are with the others.
-        let small = |i: u64| beacons[..6].contains(&number(i)) || i % 4 == 0 && !beacons.contains(&number(i));
+        let small = |i: u64| {
+            beacons[..6].contains(&number(i)) || i.is_multiple_of(4) && !beacons.contains(&number(i))
+        };
         let ages = oldest(60, 0.3, small);
         for (i, age) in (0..).zip(ages) {
             assert_eq!(age.is_some_and(|age| age < 5 * SECOND), !small(i), "{i}");
--- a/crates/bindings/src/exchange.rs
+++ b/crates/bindings/src/exchange.rs
@@ -97,7 +97,7 @@
         let mut told = Told::default();
         let due = now >= self.pulses_at.saturating_add(PULSE) || now < self.pulses_at;
         // What does not fit into one pulse goes with one between.
-        if due || self.rumours.len() > MANY && now >= self.pulses_at + PULSE / 2 {
+        if due || self.rumours.count() > MANY && now >= self.pulses_at + PULSE / 2 {
             self.pulses_at = now;
             self.tell(now);
             told.nearby = Some(self.pulse(now));
--- a/crates/bindings/src/member.rs
+++ b/crates/bindings/src/member.rs
@@ -162,6 +162,16 @@
         self.phases.forget(self.times.slot(now), &self.times, listed);
     }
 
+    /// The slot of an instant.
+    pub fn slot_of(&self, now: Micros) -> Slot {
+        self.times.slot(now)
+    }
+
+    /// Processes that leave or have come back, and how many members are clear of each.
+    pub fn phases(&self) -> impl Iterator<Item = (Process, Phase, usize)> {
+        self.phases.iter().map(|(process, phase)| (process, phase, self.phases.reported(process).count()))
+    }
+
     /// All bindings, for whoever audits them: key, process, word.
     pub fn dump(&self) -> impl Iterator<Item = (u64, Process, Word)> {
         let words = |key| self.table.words(key).map(move |(process, word)| (key, process, word));
@@ -174,7 +184,7 @@
             keys: self.table.len(),
             phases: self.phases.iter().count(),
             waiting: self.telling.waiting(),
-            rumours: self.rumours.len(),
+            rumours: self.rumours.count(),
             made_room: self.rumours.dropped,
             hears: self.hearing.hears(mono),
             dropped: self.table.dropped,
--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod logging;
 pub mod metering;
+pub mod pages;
 pub mod process;
 pub mod stderr;
 pub mod units;
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -394,6 +394,7 @@
             class: a.class,
             tenant: None,
             key: Some(a.key),
+            bound: None,
             due: EPOCH + until as Micros,
             work: None,
             repeat: attempt > 0,
--- /dev/null
+++ b/src/bin/tinflow/bindings_pages.rs
@@ -0,0 +1,189 @@
+//! The pages on bindings: figures and a dump for people and auditors, and what a steward asks and says. Changes with the form
+//! of those pages.
+
+use crate::bindings::Host;
+use hyper::StatusCode;
+use linenproxy_bindings::phase::NotBegun;
+use linenproxy_bindings::report::Census;
+use linenproxy_bindings::{Process, hash};
+use linenproxy_common::pages::{Ask, Page};
+use linenproxy_fleet::standing::Bindings as May;
+use serde::{Deserialize, Serialize};
+
+/// Bindings in one dump: all of the default table.
+const MOST_DUMPED: usize = 16_384;
+/// Longest name of a server, in bytes.
+const LONGEST_NAME: usize = 256;
+
+/// What is posted: a process of a server, and the token by which it leaves.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Posted {
+    server: String,
+    started_ms: i64,
+    epoch: u64,
+}
+
+#[derive(Serialize)]
+struct Answered {
+    clear: bool,
+    epoch: u64,
+}
+
+#[derive(Serialize)]
+struct Figures {
+    /// What the own standing allows: used, run out, not used.
+    bindings: &'static str,
+    #[serde(flatten)]
+    census: Census,
+    leaving: Vec<Leaves>,
+}
+
+#[derive(Serialize)]
+struct Leaves {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    server: Option<String>,
+    started_ms: i64,
+    epoch: u64,
+    leaves: bool,
+    reported: usize,
+}
+
+#[derive(Serialize)]
+struct Dump {
+    slot: i64,
+    hears: bool,
+    bindings: Vec<Binding>,
+    picks: Vec<Picks>,
+}
+
+#[derive(Serialize)]
+struct Binding {
+    key: u64,
+    server: Option<String>,
+    started_ms: i64,
+    epoch: u64,
+    ends: i64,
+    held: bool,
+}
+
+#[derive(Serialize)]
+struct Picks {
+    server: String,
+    started_ms: i64,
+    count: u64,
+    last_ms_ago: i64,
+}
+
+/// The page of that path; none where it is no page on bindings.
+pub fn page(host: &Host, ask: &Ask) -> Option<Page> {
+    match (ask.path.as_str(), &ask.posted) {
+        ("/fleet/bindings", None) => Page::json(StatusCode::OK, &figures(host)),
+        ("/fleet/bindings/dump", None) => Page::json(StatusCode::OK, &dump(host)),
+        ("/fleet/leaving", Some(body)) => answer(body, |process, epoch| {
+            host.leaving(process, epoch).map(|clear| Answered { clear: clear.clear, epoch })
+        }),
+        ("/fleet/stays", Some(body)) => answer(body, |process, token| {
+            let epoch = token + 1;
+            host.stays(process, epoch).map(|()| Answered { clear: false, epoch })
+        }),
+        ("/fleet/leaving" | "/fleet/stays", None) => {
+            Page::refused(StatusCode::METHOD_NOT_ALLOWED, "method", "this is posted")
+        }
+        ("/fleet/bindings" | "/fleet/bindings/dump", Some(_)) => {
+            Page::refused(StatusCode::METHOD_NOT_ALLOWED, "method", "this is read")
+        }
+        _ => None,
+    }
+}
+
+fn read(body: &[u8]) -> Result<(Process, u64), (&'static str, String)> {
+    let posted: Posted = serde_json::from_slice(body).map_err(|e| ("body", e.to_string()))?;
+    if posted.server.is_empty() || posted.server.len() > LONGEST_NAME {
+        return Err(("server", format!("1 to {LONGEST_NAME} bytes")));
+    }
+    if posted.started_ms < 0 {
+        return Err(("started_ms", "0 or above".to_owned()));
+    }
+    // The next one must be there, too.
+    if posted.epoch >= u64::MAX - 1 {
+        return Err(("epoch", "no token is as high".to_owned()));
+    }
+    Ok((Process { name: hash(posted.server.as_bytes()), started: posted.started_ms }, posted.epoch))
+}
+
+fn answer(body: &[u8], does: impl Fn(Process, u64) -> Result<Answered, NotBegun>) -> Option<Page> {
+    let (process, epoch) = match read(body) {
+        Ok(read) => read,
+        Err((key, reason)) => return Page::refused(StatusCode::BAD_REQUEST, key, &reason),
+    };
+    match does(process, epoch) {
+        Ok(answered) => Page::json(StatusCode::OK, &answered),
+        Err(NotBegun::Past) => {
+            Page::refused(StatusCode::CONFLICT, "epoch", "a later one has begun for this process")
+        }
+        Err(NotBegun::TooMany) => Page::refused(
+            StatusCode::TOO_MANY_REQUESTS,
+            "server",
+            "as many processes leave already as members can tell of",
+        ),
+    }
+}
+
+fn figures(host: &Host) -> Figures {
+    let (census, may, _) = host.census();
+    let bindings = match may {
+        May::Used => "used",
+        May::RunOut => "run out",
+        May::Idle => "not used",
+    };
+    let leaves = |l: crate::bindings::Leaving| Leaves {
+        server: l.name,
+        started_ms: l.process.started,
+        epoch: l.epoch,
+        leaves: l.leaves,
+        reported: l.reported,
+    };
+    Figures { bindings, census, leaving: host.leave().into_iter().map(leaves).collect() }
+}
+
+fn dump(host: &Host) -> Dump {
+    let (census, _, slot) = host.census();
+    let binding =
+        |(key, server, process, word): (u64, _, Process, linenproxy_bindings::word::Word)| Binding {
+            key,
+            server,
+            started_ms: process.started,
+            epoch: word.era,
+            ends: word.ends,
+            held: word.held,
+        };
+    let picks = |(server, process, count, ago): (String, Process, u64, i64)| Picks {
+        server,
+        started_ms: process.started,
+        count,
+        last_ms_ago: ago / 1000,
+    };
+    Dump {
+        slot,
+        hears: census.hears,
+        bindings: host.dump(MOST_DUMPED).into_iter().map(binding).collect(),
+        picks: host.picks().into_iter().map(picks).collect(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_cannot_be_used_is_named_with_its_key() {
+        let key = |body: &str| read(body.as_bytes()).expect_err("it is wrong").0;
+        assert!(read(br#"{"server": "a", "started_ms": 0, "epoch": 7}"#).is_ok());
+        assert_eq!(key("{"), "body");
+        assert_eq!(key(r#"{"server": "", "started_ms": 0, "epoch": 7}"#), "server");
+        assert_eq!(key(r#"{"server": "a", "started_ms": -1, "epoch": 7}"#), "started_ms");
+        assert_eq!(key(r#"{"server": "a", "started_ms": 0, "epoch": 18446744073709551615}"#), "epoch");
+        assert_eq!(key(r#"{"server": "a", "started_ms": 0, "epoch": 1, "more": 2}"#), "body");
+    }
+}
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -11,14 +11,14 @@
 use crate::messages::Survey;
 use crate::messages::{Answer, Ended, Input, Inputs, Outgoing};
 use crate::peers::Peers;
-use crate::product::{Fleet, Observer};
+use crate::product::{Bound, Fleet, Observer};
 use crate::report::say;
 use crate::spaced::{Spaced, left_out};
 use crate::upstream::Upstream;
 use linenproxy::settings::Names;
 use linenproxy::{
     Action, AttemptEnd, AttemptNo, Balancer, ClassId, Discovery, Event, ListUpdate, Listing, Load, Micros,
-    Outcome, RequestId, Status,
+    NewRequest, Outcome, RequestId, Status,
 };
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -42,6 +42,9 @@
     attempts: AttemptNo,
     class: ClassId,
     arrived: Micros,
+    key: Option<u64>,
+    /// Where its key was bound; while it is held, the request is under way there.
+    _bound: Option<Bound>,
 }
 
 /// An attempt that is out; the module is owed one event on its end.
@@ -168,7 +171,11 @@
             Input::Request(request, outgoing, reply) => {
                 self.observer.taken(request.class, &outgoing);
                 let (class, arrived) = (request.class, self.clock.now());
-                self.held.insert(request.id, Held { reply, outgoing, attempts: 0, class, arrived });
+                let bound = self.fleet.as_ref().and_then(|fleet| fleet.bound(request.key));
+                let request = NewRequest { bound: bound.as_ref().map(|b| b.endpoint), ..request };
+                let key = request.key;
+                let held = Held { reply, outgoing, attempts: 0, class, arrived, key, _bound: bound };
+                self.held.insert(request.id, held);
                 self.deliver(Event::Request(request));
             }
             Input::Withdrawn(id) => {
@@ -255,6 +262,9 @@
         let outgoing = self.held.get(&request).map(|held| &*held.outgoing);
         self.observer.ended(outgoing, outcome, self.clock.now() - out.sent);
         if let Some(served) = served {
+            if let Some((fleet, held)) = self.fleet.as_ref().zip(self.held.get(&request)) {
+                fleet.used(held.key, out.endpoint);
+            }
             self.answer(request, Answer::Served(served));
         }
         self.deliver_end((request, attempt), &out, outcome, load);
--- a/src/bin/tinflow/fleet.rs
+++ b/src/bin/tinflow/fleet.rs
@@ -1,6 +1,7 @@
 //! Hosts this sidecar's membership in its fleet: the list and what was seen go in, words come out. Changes with how the
 //! sidecar and the fleet's member talk to each other.
 
+use crate::bindings::{Bound, Host};
 use crate::clock::Clock;
 use crate::messages::{Input, Inputs};
 use linenproxy::{EndpointId, Listing, Micros, Rest, Sharing, Status, Word};
@@ -20,6 +21,7 @@
     member: udp::Fleet,
     list: Rc<RefCell<BTreeMap<EndpointId, Listed>>>,
     sharing: Sharing,
+    bindings: Option<Host>,
 }
 
 impl Fleet {
@@ -39,7 +41,25 @@
         spawn_local(member.clone().run());
         let ahead = if section.affinity.enabled { section.affinity.ahead } else { 0.0 };
         let sharing = Sharing { words: section.verdicts.enabled, ahead };
-        Ok(Self { member, list: Rc::default(), sharing })
+        let bindings = section.bindings.enabled.then(|| Host::start(section, &member, clock));
+        Ok(Self { member, list: Rc::default(), sharing, bindings })
+    }
+
+    /// The bindings, where they are hosted.
+    pub fn bindings(&self) -> Option<&Host> {
+        self.bindings.as_ref()
+    }
+
+    /// Where a key is bound, if it is and that may be used.
+    pub fn bound(&self, key: Option<u64>) -> Option<Bound> {
+        self.bindings.as_ref()?.pick(key?)
+    }
+
+    /// A request was served there; it may be about a key.
+    pub fn used(&self, key: Option<u64>, endpoint: EndpointId) {
+        if let Some((host, key)) = self.bindings.as_ref().zip(key) {
+            host.used(key, endpoint);
+        }
     }
 
     /// What the module is to share.
@@ -70,6 +90,9 @@
                 }
             }
         }
+        if let Some(bindings) = &self.bindings {
+            bindings.listed(list.values());
+        }
         self.member.listed(list.values().cloned().collect());
     }
 
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -247,6 +247,7 @@
         class: facts.class,
         tenant: facts.tenant,
         key: facts.key,
+        bound: None,
         due,
         work: facts.work,
         repeat: facts.repeat,
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -1,6 +1,10 @@
 //! tinflow: a sidecar load balancer on real sockets. One thread; every task shares it.
 #![forbid(unsafe_code)]
 
+#[cfg(feature = "product")]
+mod bindings;
+#[cfg(feature = "product")]
+mod bindings_pages;
 mod clock;
 mod config;
 mod connection;
@@ -15,6 +19,8 @@
 mod messages;
 #[cfg(feature = "product")]
 mod observer;
+#[cfg(feature = "product")]
+mod pages;
 mod peers;
 #[cfg_attr(not(feature = "product"), path = "plain.rs")]
 mod product;
--- /dev/null
+++ b/src/bin/tinflow/pages.rs
@@ -0,0 +1,48 @@
+//! What is read, and posted, at the address of the metrics. Changes with which pages there are.
+
+use crate::bindings_pages;
+use crate::fleet::Fleet;
+use crate::messages::Inputs;
+use crate::observer::Observer;
+use hyper::StatusCode;
+use linenproxy_common::logging::Log;
+use linenproxy_common::pages::{Ask, Page};
+use std::rc::Rc;
+
+/// What the pages are made from.
+#[derive(Clone)]
+pub struct Pages {
+    /// What is counted.
+    pub observer: Observer,
+    /// The way to the engine.
+    pub inputs: Inputs,
+    /// The log.
+    pub log: Rc<Log>,
+    /// The membership, if any.
+    pub fleet: Option<Fleet>,
+}
+
+impl Pages {
+    /// The page that is asked for; none where there is none.
+    pub async fn page(self, ask: Ask) -> Option<Page> {
+        if let Some(host) = self.fleet.as_ref().and_then(Fleet::bindings)
+            && let Some(page) = bindings_pages::page(host, &ask)
+        {
+            return Some(page);
+        }
+        match ask.path.as_str() {
+            "/fleet" | "/metrics" if ask.posted.is_some() => {
+                Page::refused(StatusCode::METHOD_NOT_ALLOWED, "method", "this is read")
+            }
+            "/fleet" => Page::json(StatusCode::OK, &self.fleet?.census()),
+            "/metrics" => {
+                if let Some(fleet) = &self.fleet {
+                    self.observer.fleet(&fleet.census());
+                }
+                let survey = self.inputs.survey().await?;
+                self.observer.page(&survey, self.log.dropped()).map(Page::metrics)
+            }
+            _ => None,
+        }
+    }
+}
--- a/src/bin/tinflow/plain.rs
+++ b/src/bin/tinflow/plain.rs
@@ -67,11 +67,25 @@
         match *self {}
     }
     /// See `fleet.rs`.
+    pub fn bound(&self, _: Option<u64>) -> Option<Bound> {
+        match *self {}
+    }
+    /// See `fleet.rs`.
+    pub fn used(&self, _: Option<u64>, _: EndpointId) {
+        match *self {}
+    }
+    /// See `fleet.rs`.
     pub fn leave(&self) {
         match *self {}
     }
 }
 
+/// A request that was given a binding; there is none.
+pub struct Bound {
+    /// Where it is to go.
+    pub endpoint: EndpointId,
+}
+
 /// Sees nothing.
 #[derive(Clone)]
 pub struct Observer;
--- a/src/bin/tinflow/product.rs
+++ b/src/bin/tinflow/product.rs
@@ -1,17 +1,20 @@
 //! The product parts of the sidecar: its command line, its product configuration, and what they switch on. Changes
 //! with what can be configured. Without a product configuration nothing is hosted and nothing is counted.
 
+pub use crate::bindings::Bound;
 use crate::clock::Clock;
 use crate::config::Config;
 pub use crate::fleet::Fleet;
 use crate::messages::Inputs;
 pub use crate::observer::Observer;
+use crate::pages::Pages;
 use crate::report::say;
 use clap::Parser;
 use linenproxy_common::cli::{self, Exit};
 use linenproxy_common::config::{self, Configuration, Contradiction};
 use linenproxy_common::logging::{self, Log, LogSection};
-use linenproxy_common::metering::{self, Bounds, Figures, MetricsSection, Page};
+use linenproxy_common::metering::{Figures, MetricsSection};
+use linenproxy_common::pages::{self, Bounds};
 use linenproxy_fleet::section::FleetSection;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
@@ -149,27 +152,13 @@
             say!(info, "tinflow", "metrics are read at {at}");
         }
         spawn_local(Rc::clone(&figures).upkeep());
-        let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&self.log));
-        let fleet = fleet.cloned();
-        let pages = move |path: String| {
-            let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&log));
-            let fleet = fleet.clone();
-            async move {
-                if path == "/fleet" {
-                    let text = serde_json::to_string_pretty(&fleet?.census()).ok()?;
-                    return Some(Page { media: "application/json", text: text + "\n" });
-                }
-                if path != "/metrics" {
-                    return None;
-                }
-                if let Some(fleet) = &fleet {
-                    observer.fleet(&fleet.census());
-                }
-                let survey = inputs.survey().await?;
-                observer.page(&survey, log.dropped()).map(Page::metrics)
-            }
+        let pages = Pages {
+            observer: observer.clone(),
+            inputs: inputs.clone(),
+            log: Rc::clone(&self.log),
+            fleet: fleet.cloned(),
         };
-        spawn_local(metering::serve(listener, self.bounds.clone(), pages));
+        spawn_local(pages::serve(listener, self.bounds.clone(), move |ask| pages.clone().page(ask)));
         Ok(())
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,9 +34,8 @@
         let class_work: Vec<_> = set.classes.iter().map(|c| c.aim as f64 * FIRST_WORK).collect();
         let mean_work = class_work.iter().sum::<f64>() / class_work.len().max(1) as f64;
         let tenants = vec![Fading::default(); set.tenants.len()];
-        let (retries, trials) = (RETRIES.1, 1.0);
-        let mut fleet = Fleet { mean_work, class_work, tenants, retries, trials, ..Fleet::default() };
-        (fleet.slow, fleet.bare, fleet.aim_use) = (1.0, 1.0, FIRST_WORK);
+        let mut fleet = Fleet { mean_work, class_work, tenants, retries: RETRIES.1, ..Fleet::default() };
+        (fleet.trials, fleet.slow, fleet.bare, fleet.aim_use) = (1.0, 1.0, 1.0, FIRST_WORK);
         let (endpoints, requests, queue, timers, log, sharing) = Default::default();
         let (rng, memory) = (fastrand::Rng::with_seed(seed), MEMORY * set.longest_aim().min(HOUR));
         Ok(Self { set, memory, rng, endpoints, requests, queue, timers, fleet, log, sharing })
@@ -73,8 +72,7 @@
         let own = new.work.map_or(self.fleet.class_work[new.class], |w| w.clamp(1, HOUR) as f64);
         let aim = (class.aim as f64 + class.aim_stretch * own).min(class.deadline.max(class.aim) as f64);
         // A refused client's repeats are no new traffic: they would lead on to ever more of the fleet.
-        let first_try = f64::from(!new.repeat);
-        self.fleet.asked.add(now, first_try, (self.round() * ROUNDS_COUNTED) as Micros);
+        self.fleet.asked.add(now, f64::from(!new.repeat), (self.round() * ROUNDS_COUNTED) as Micros);
         self.fleet.trials = (self.fleet.trials + TRIALS).min(1.0);
         self.fleet.retries = (self.fleet.retries + RETRIES.0).min(RETRIES.1);
         // Half of what a request waits for is others' work: else any server looks slow to tiny requests.
@@ -90,6 +88,7 @@
             aim,
             arrived: now,
             key: new.key,
+            bound: new.bound,
             due: new.due.clamp(now, now + HOUR) - 2 * self.set.tick,
             work,
             over_share,
--- a/src/choice/turns.rs
+++ b/src/choice/turns.rs
@@ -46,8 +46,7 @@
                 continue;
             }
             let tried = request.attempts.iter().any(|a| a.endpoint == i);
-            let turn =
-                (tried, self.liking(now, request.key, e), e.left / self.weight(now, e), e.last_sent, i);
+            let turn = (tried, self.liking(now, request, i), e.left / self.weight(now, e), e.last_sent, i);
             if best.is_none_or(|b| turn < b) {
                 best = Some(turn);
             }
