--- a/benches/overhead.rs
+++ b/benches/overhead.rs
@@ -46,8 +46,16 @@
         let now = id as Micros * SPACING;
         out.clear();
         let due = now + 3_000_000;
-        let request =
-            NewRequest { id, class: 0, tenant: None, key: None, bound: None, due, work: None, repeat: false };
+        let request = NewRequest {
+            id,
+            class: 0,
+            tenant: None,
+            key: None,
+            bound: Vec::new(),
+            due,
+            work: None,
+            repeat: false,
+        };
         balancer.handle(now, Event::Request(request), &mut out);
         let sent = out.iter().find_map(|a| match a {
             Action::Send { endpoint, .. } => Some(*endpoint),
--- a/crates/bindings/src/exchange.rs
+++ b/crates/bindings/src/exchange.rs
@@ -47,6 +47,7 @@
                 word.ends = oldest + self.times.life(word.held);
             }
             let ended = self.phases.ended(process, word.era) && self.guards.refuses_ended;
+            let ended = ended || self.closed.contains(&process);
             let counts = word.last(&self.times) <= newest && oldest < word.ends && !ended;
             if !counts || !self.table.merge(key, process, word) {
                 self.census.passed_over += 1;
--- a/crates/bindings/src/histories.rs
+++ b/crates/bindings/src/histories.rs
@@ -196,7 +196,7 @@
             }
             let key = self.rng.u64(..KEYS);
             let (now, mono) = (self.now(i), self.mono(i));
-            let bound = self.nodes[i].bindings.pick(now, mono, key, |_| true);
+            let bound = self.nodes[i].bindings.picks(now, mono, key, |_| true).first().copied();
             let at = bound.unwrap_or_else(|| process(mix(key, self.rng.u64(..2)) % PROCESSES));
             if bound.is_some() {
                 let until = self.t + self.rng.i64(0..self.times.longest_use);
--- a/crates/bindings/src/histories/checks.rs
+++ b/crates/bindings/src/histories/checks.rs
@@ -137,8 +137,8 @@
         let Some(since) = self.clear else { return };
         truth.look("d");
         for key in 0..KEYS {
-            let picked = self.nodes[i].bindings.pick(self.now(i), self.mono(i), key, |_| true);
-            if picked == Some(process(0)) {
+            let picked = self.nodes[i].bindings.picks(self.now(i), self.mono(i), key, |_| true);
+            if picked.contains(&process(0)) {
                 let ago = self.t - since;
                 truth
                     .breach(format!("d: {i} picks by a binding, clear {ago} us ago, asked {:?}", self.asked));
--- a/crates/bindings/src/member.rs
+++ b/crates/bindings/src/member.rs
@@ -10,9 +10,9 @@
 use crate::table::{Rank, Table};
 use crate::telling::{Rates, Telling};
 use crate::time::{Slot, Times};
-use crate::word::{Process, Word};
+use crate::word::{MOST_PLACES, Process, Word};
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Pulses in which a member that starts asks for all bindings, until it is answered.
 const ASKS: u32 = 8;
@@ -28,6 +28,8 @@
     pub(crate) phases: Phases,
     pub(crate) contact: Contact,
     pub(crate) hearing: Hearing,
+    /// Processes that the own list has named and that take nothing any more: nothing is bound there.
+    pub(crate) closed: HashSet<Process>,
     /// Requests under way that may go by a binding, by process.
     pub(crate) under_way: HashMap<Process, u32>,
     /// Members that asked for all bindings, and how far their answers have come.
@@ -52,6 +54,7 @@
             phases: Phases::default(),
             contact: Contact::new(member),
             hearing: Hearing::new(times.silence, founds),
+            closed: HashSet::new(),
             under_way: HashMap::new(),
             asked: VecDeque::new(),
             begun: now + times.skew,
@@ -77,21 +80,16 @@
         self.hearing.parted();
     }
 
-    /// Where a key is bound, of the processes that may be used. None where this member may not hear the others.
-    pub fn pick(
-        &self,
-        now: Micros,
-        mono: Micros,
-        key: u64,
-        may: impl Fn(Process) -> bool,
-    ) -> Option<Process> {
+    /// Where a key is bound, of the processes that may be used, the best first. None where this member may not hear the
+    /// others.
+    pub fn picks(&self, now: Micros, mono: Micros, key: u64, may: impl Fn(Process) -> bool) -> Vec<Process> {
         let hears = self.hearing.hears(mono) || !self.guards.falls_silent;
         let slot = self.times.slot(now);
         let alive = |process: Process, word: Word| {
             let moves = self.phases.moves(key, process, word.era, &self.times);
             slot < word.ends && moves.is_none_or(|moves| slot < moves) && may(process)
         };
-        if hears && self.phases.whole() { self.table.bound(key, alive) } else { None }
+        if hears && self.phases.whole() { self.table.bound(key, alive) } else { Vec::new() }
     }
 
     /// A request that was given a binding to that process begins, or ends for good.
@@ -105,10 +103,24 @@
 
     /// This member used a key at a process.
     pub fn used(&mut self, now: Micros, key: u64, process: Process) {
-        if !self.phases.ended(process, self.phases.era(process)) {
-            let bound = self.table.at(key, process).is_some();
-            self.telling.used(key, process, self.times.slot(now), bound);
+        if self.closed.contains(&process) {
+            return;
+        }
+        let (slot, era) = (self.times.slot(now), self.phases.era(process));
+        let at = self.table.at(key, process).is_some();
+        // Who finds so many places has one to go to: a further one would cost words at each use.
+        let places = || self.table.words(key).filter(|(_, word)| slot < word.ends).count();
+        if !self.phases.ended(process, era) && (at || places() < MOST_PLACES) {
+            self.telling.used(key, process, slot, at);
+        }
+    }
+
+    /// The own list says that those take nothing any more: what was bound there is dropped here, and nothing is taken in.
+    pub fn closes(&mut self, closed: HashSet<Process>) {
+        if closed.iter().any(|process| !self.closed.contains(process)) {
+            self.table.retain(|_, process, _| !closed.contains(&process));
         }
+        self.closed = closed;
     }
 
     /// That process leaves: its epoch ends.
--- a/crates/bindings/src/table.rs
+++ b/crates/bindings/src/table.rs
@@ -123,9 +123,10 @@
         self.places.get(&key)?.at(process).filter(|word| self.stands(key, word))
     }
 
-    /// Where a key is bound, of the places that may be used.
-    pub fn bound(&self, key: u64, may: impl Fn(Process, Word) -> bool) -> Option<Process> {
-        self.places.get(&key)?.bound(key, |process, word| self.stands(key, &word) && may(process, word))
+    /// Where a key is bound, of the places that may be used, the best first.
+    pub fn bound(&self, key: u64, may: impl Fn(Process, Word) -> bool) -> Vec<Process> {
+        let stands = |process, word| self.stands(key, &word) && may(process, word);
+        self.places.get(&key).map(|places| places.bound(key, stands)).unwrap_or_default()
     }
 
     /// All words on a key, the one that ends last first.
--- a/crates/bindings/src/word.rs
+++ b/crates/bindings/src/word.rs
@@ -80,14 +80,13 @@
         self.0.first().map(|(word, _)| word.ends)
     }
 
-    /// The place at which the key is bound, of those that may be used: one that it was met at again, then one drawn by
+    /// The places at which the key is bound, of those that may be used: first one that it was met at again, then one drawn by
     /// the key, the same at every member.
-    pub fn bound(&self, key: u64, may: impl Fn(Process, Word) -> bool) -> Option<Process> {
+    pub fn bound(&self, key: u64, may: impl Fn(Process, Word) -> bool) -> Vec<Process> {
         let rank = |(p, w): &(Process, Word)| (w.held, mix(key, mix(p.name, p.started.unsigned_abs())));
-        self.iter()
-            .filter(|(process, word)| may(*process, *word))
-            .max_by_key(rank)
-            .map(|(process, _)| process)
+        let mut bound: Vec<_> = self.iter().filter(|(process, word)| may(*process, *word)).collect();
+        bound.sort_by_key(|place| std::cmp::Reverse(rank(place)));
+        bound.into_iter().map(|(process, _)| process).collect()
     }
 
     /// No place is left.
@@ -134,8 +133,8 @@
         let (a, b) = (Process { name: 1, started: 0 }, Process { name: 2, started: 0 });
         let word = |ends, held| Word { era: 0, ends, held };
         let places = of(&[(a, word(5, true)), (b, word(9, false))]);
-        assert_eq!(places.bound(3, |_, _| true), Some(a));
-        assert_eq!(places.bound(3, |p, _| p != a), Some(b));
+        assert_eq!(places.bound(3, |_, _| true).first(), Some(&a));
+        assert_eq!(places.bound(3, |p, _| p != a), [b]);
         let both = of(&[(a, word(5, true)), (b, word(9, true))]);
         let turned = of(&[(b, word(9, true)), (a, word(5, true))]);
         assert_eq!(both.bound(3, |_, _| true), turned.bound(3, |_, _| true));
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -394,7 +394,7 @@
             class: a.class,
             tenant: None,
             key: Some(a.key),
-            bound: None,
+            bound: Vec::new(),
             due: EPOCH + until as Micros,
             work: None,
             repeat: attempt > 0,
--- a/src/api/request.rs
+++ b/src/api/request.rs
@@ -13,8 +13,8 @@
     pub tenant: Option<TenantId>,
     /// Its subject, if any.
     pub key: Option<u64>,
-    /// Where its key is warm by all members' word, if anywhere.
-    pub bound: Option<EndpointId>,
+    /// Where its key is warm by all members' word, the best first.
+    pub bound: Vec<EndpointId>,
     /// When the client gives up this try.
     pub due: Micros,
     /// Expected work on a standard core, where known.
--- a/src/bin/tinflow/bindings.rs
+++ b/src/bin/tinflow/bindings.rs
@@ -1,19 +1,20 @@
 //! Hosts the bindings of keys: uses, the list and what others say go in; where a key is bound comes out. Changes with how the
 //! sidecar and its bindings talk to each other.
 
+use crate::bindings_list::List;
 use crate::clock::Clock;
 use linenproxy::{EndpointId, Micros};
 use linenproxy_bindings::exchange::TICK;
 use linenproxy_bindings::phase::NotBegun;
 use linenproxy_bindings::report::{Census, Clear};
 use linenproxy_bindings::word::Word;
-use linenproxy_bindings::{Bindings, Process, hash};
+use linenproxy_bindings::{Bindings, Process};
 use linenproxy_fleet::core::{Carried, Listed};
 use linenproxy_fleet::section::{FleetSection, micros};
 use linenproxy_fleet::standing::Bindings as May;
 use linenproxy_fleet::udp;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -35,10 +36,7 @@
     clock: Clock,
     offset: Micros,
     core: RefCell<Bindings>,
-    /// The listed processes, both ways.
-    processes: RefCell<HashMap<EndpointId, Process>>,
-    endpoints: RefCell<HashMap<Process, EndpointId>>,
-    names: RefCell<HashMap<Process, String>>,
+    list: RefCell<List>,
     /// What the own standing allows.
     may: Cell<May>,
     running: RefCell<Vec<u64>>,
@@ -49,14 +47,15 @@
 /// A request that was given a binding; while it is there the request is under way.
 pub struct Bound {
     host: Host,
-    process: Process,
-    /// Where it is to go.
-    pub endpoint: EndpointId,
+    processes: Vec<Process>,
+    /// Where it is to go, the best first.
+    pub endpoints: Vec<EndpointId>,
 }
 
 impl Drop for Bound {
     fn drop(&mut self) {
-        self.host.0.core.borrow_mut().under_way(self.process, false);
+        let mut core = self.host.0.core.borrow_mut();
+        self.processes.iter().for_each(|process| core.under_way(*process, false));
     }
 }
 
@@ -87,9 +86,7 @@
             clock,
             offset,
             core: RefCell::new(core),
-            processes: RefCell::default(),
-            endpoints: RefCell::default(),
-            names: RefCell::default(),
+            list: RefCell::default(),
             may: Cell::new(May::Idle),
             running: RefCell::default(),
             picks: RefCell::default(),
@@ -144,27 +141,17 @@
         self.0.may.set(others.bindings);
         let mut core = self.0.core.borrow_mut();
         core.roster(&others.known);
-        let endpoints = self.0.endpoints.borrow();
-        core.forget(now, |process| endpoints.contains_key(&process));
+        let list = self.0.list.borrow();
+        core.forget(now, |process| list.names.contains_key(&process));
         *self.0.running.borrow_mut() = others.running;
     }
 
     /// The list has changed.
     pub fn listed<'a>(&self, list: impl Iterator<Item = &'a Listed>) {
-        let (mut processes, mut endpoints) = (HashMap::new(), HashMap::new());
-        let mut names = HashMap::new();
-        for l in list {
-            let started = l.started.unwrap_or(0) / 1000;
-            let process = Process { name: hash(l.name.as_bytes()), started };
-            processes.insert(l.endpoint, process);
-            names.insert(process, l.name.clone());
-            if l.ready {
-                endpoints.insert(process, l.endpoint);
-            }
-        }
+        let closed = self.0.list.borrow_mut().follow(list);
+        let names = &self.0.list.borrow().names;
         self.0.picks.borrow_mut().retain(|process, _| names.contains_key(process));
-        (*self.0.processes.borrow_mut(), *self.0.endpoints.borrow_mut()) = (processes, endpoints);
-        *self.0.names.borrow_mut() = names;
+        self.0.core.borrow_mut().closes(closed);
     }
 
     /// Where a key is bound, if it is and that may be used.
@@ -172,21 +159,26 @@
         if self.0.may.get() == May::Idle {
             return None;
         }
-        let ((now, mono), endpoints) = (self.now(), self.0.endpoints.borrow());
+        let ((now, mono), list) = (self.now(), self.0.list.borrow());
         let mut core = self.0.core.borrow_mut();
-        let process = core.pick(now, mono, key, |process| endpoints.contains_key(&process))?;
-        let endpoint = *endpoints.get(&process)?;
-        core.under_way(process, true);
+        let processes = core.picks(now, mono, key, |process| list.endpoints.contains_key(&process));
+        if processes.is_empty() {
+            return None;
+        }
         let mut picks = self.0.picks.borrow_mut();
-        let (count, last) = picks.entry(process).or_default();
-        (*count, *last) = (*count + 1, mono);
-        Some(Bound { host: self.clone(), process, endpoint })
+        for process in &processes {
+            core.under_way(*process, true);
+            let (count, last) = picks.entry(*process).or_default();
+            (*count, *last) = (*count + 1, mono);
+        }
+        let endpoints = processes.iter().filter_map(|process| list.endpoints.get(process).copied()).collect();
+        Some(Bound { host: self.clone(), processes, endpoints })
     }
 
     /// A request about a key was served there.
     pub fn used(&self, key: u64, endpoint: EndpointId) {
         if self.0.may.get() == May::Used
-            && let Some(process) = self.0.processes.borrow().get(&endpoint).copied()
+            && let Some(process) = self.0.list.borrow().processes.get(&endpoint).copied()
         {
             let (now, _) = self.now();
             self.0.core.borrow_mut().used(now, key, process);
@@ -216,11 +208,11 @@
 
     /// Processes that leave or have come back.
     pub fn leave(&self) -> Vec<Leaving> {
-        let (core, names) = (self.0.core.borrow(), self.0.names.borrow());
+        let (core, list) = (self.0.core.borrow(), self.0.list.borrow());
         let leaving = |(process, phase, reported): (Process, _, _)| {
             let phase: linenproxy_bindings::phase::Phase = phase;
             Leaving {
-                name: names.get(&process).cloned(),
+                name: list.names.get(&process).cloned(),
                 process,
                 epoch: phase.epoch,
                 leaves: phase.leaves,
@@ -232,16 +224,16 @@
 
     /// Bindings, at most so many: key, name of the endpoint where it is listed, process, word.
     pub fn dump(&self, most: usize) -> Vec<(u64, Option<String>, Process, Word)> {
-        let (core, names) = (self.0.core.borrow(), self.0.names.borrow());
-        let named = |(key, process, word)| (key, names.get(&process).cloned(), process, word);
+        let (core, list) = (self.0.core.borrow(), self.0.list.borrow());
+        let named = |(key, process, word)| (key, list.names.get(&process).cloned(), process, word);
         core.dump().take(most).map(named).collect()
     }
 
     /// Picks by a binding since the start, for processes that are listed: how many, and how long ago the last one was.
     pub fn picks(&self) -> Vec<(String, Process, u64, Micros)> {
-        let ((_, mono), names) = (self.now(), self.0.names.borrow());
+        let ((_, mono), list) = (self.now(), self.0.list.borrow());
         let named = |(process, (count, last)): (&Process, &(u64, Micros))| {
-            Some((names.get(process)?.clone(), *process, *count, mono - last))
+            Some((list.names.get(process)?.clone(), *process, *count, mono - last))
         };
         self.0.picks.borrow().iter().filter_map(named).collect()
     }
--- /dev/null
+++ b/src/bin/tinflow/bindings_list.rs
@@ -0,0 +1,73 @@
+//! The listed endpoints as processes. Changes with how a process is told from the list.
+
+use linenproxy::EndpointId;
+use linenproxy_bindings::{Process, hash};
+use linenproxy_fleet::core::Listed;
+use std::collections::{HashMap, HashSet, VecDeque};
+
+/// Processes that are remembered to have been listed: more than words on them may be under way.
+const MOST_GONE: usize = 1024;
+
+/// The listed processes.
+#[derive(Default)]
+pub struct List {
+    /// Those of endpoints by their numbers.
+    pub processes: HashMap<EndpointId, Process>,
+    /// Those that are ready.
+    pub endpoints: HashMap<Process, EndpointId>,
+    /// All, by name.
+    pub names: HashMap<Process, String>,
+    /// Those that were listed and are no more, the last ones.
+    gone: VecDeque<Process>,
+}
+
+impl List {
+    /// Follows the whole list; gives the processes that take nothing any more.
+    pub fn follow<'a>(&mut self, list: impl Iterator<Item = &'a Listed>) -> HashSet<Process> {
+        let before: Vec<Process> = self.names.keys().copied().collect();
+        (self.processes, self.endpoints, self.names) = Default::default();
+        for l in list {
+            let name = hash(l.name.as_bytes());
+            // Who drains is listed without its start.
+            let known = before.iter().find(|p| p.name == name && !l.ready && l.started.is_none());
+            let process = known.copied().unwrap_or(Process { name, started: l.started.unwrap_or(0) / 1000 });
+            self.processes.insert(l.endpoint, process);
+            self.names.insert(process, l.name.clone());
+            if l.ready {
+                self.endpoints.insert(process, l.endpoint);
+            }
+        }
+        self.gone.extend(before);
+        self.gone.retain(|process| !self.names.contains_key(process));
+        self.gone.drain(..self.gone.len().saturating_sub(MOST_GONE));
+        let closed = |process: &&Process| !self.endpoints.contains_key(*process);
+        self.names.keys().chain(&self.gone).filter(closed).copied().collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_drains_or_is_gone_is_the_process_that_it_was_and_takes_nothing() {
+        let listed = |name: &str, started: Option<i64>, ready| Listed {
+            endpoint: name.len(),
+            name: name.to_owned(),
+            started: started.map(|ms| ms * 1000),
+            ready,
+        };
+        let process = |name: &str, started| Process { name: hash(name.as_bytes()), started };
+        let mut list = List::default();
+        assert!(list.follow([listed("a", Some(7), true), listed("bb", None, true)].iter()).is_empty());
+        let closed = list.follow([listed("a", None, false), listed("bb", Some(9), true)].iter());
+        assert_eq!(closed, HashSet::from([process("a", 7), process("bb", 0)]));
+        let closed = list.follow([listed("bb", Some(9), true)].iter());
+        assert_eq!(closed, HashSet::from([process("a", 7), process("bb", 0)]));
+        assert!(
+            list.follow([listed("a", Some(7), true), listed("bb", None, true)].iter())
+                .contains(&process("bb", 9))
+        );
+        assert_eq!(list.endpoints[&process("a", 7)], 1);
+    }
+}
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -172,7 +172,8 @@
                 self.observer.taken(request.class, &outgoing);
                 let (class, arrived) = (request.class, self.clock.now());
                 let bound = self.fleet.as_ref().and_then(|fleet| fleet.bound(request.key));
-                let request = NewRequest { bound: bound.as_ref().map(|b| b.endpoint), ..request };
+                let places = bound.as_ref().map(|bound| bound.endpoints.clone()).unwrap_or_default();
+                let request = NewRequest { bound: places, ..request };
                 let key = request.key;
                 let held = Held { reply, outgoing, attempts: 0, class, arrived, key, _bound: bound };
                 self.held.insert(request.id, held);
--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -247,7 +247,7 @@
         class: facts.class,
         tenant: facts.tenant,
         key: facts.key,
-        bound: None,
+        bound: Vec::new(),
         due,
         work: facts.work,
         repeat: facts.repeat,
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -4,6 +4,8 @@
 #[cfg(feature = "product")]
 mod bindings;
 #[cfg(feature = "product")]
+mod bindings_list;
+#[cfg(feature = "product")]
 mod bindings_pages;
 mod clock;
 mod config;
--- a/src/bin/tinflow/plain.rs
+++ b/src/bin/tinflow/plain.rs
@@ -82,8 +82,8 @@
 
 /// A request that was given a binding; there is none.
 pub struct Bound {
-    /// Where it is to go.
-    pub endpoint: EndpointId,
+    /// Where it is to go, the best first.
+    pub endpoints: Vec<EndpointId>,
 }
 
 /// Sees nothing.
--- a/src/choice/hearsay.rs
+++ b/src/choice/hearsay.rs
@@ -63,7 +63,7 @@
     /// proportion to weights (highest random weight: Thaler and Ravishankar, IEEE/ACM Transactions on
     /// Networking 6, 1998, p. 1), past those that are ahead of their turns (consistent hashing with bounded
     /// loads: Mirrokni, Thorup and Zadimoghaddam, SODA 2018, p. 587). One that is to be tried, or is owed
-    /// turns, comes before all, then the one where the key is bound; without a key all are alike.
+    /// turns, comes before all, then those where the key is bound; without a key all are alike.
     pub(crate) fn liking(&self, now: Micros, request: &Request, i: EndpointId) -> f64 {
         let (e, ahead) = (&self.endpoints[i], self.sharing.ahead);
         match request.key.filter(|_| ahead > 0.0) {
@@ -71,10 +71,10 @@
             None => 0.0,
             Some(_) if e.left >= ahead => f64::MAX,
             Some(_) if e.left <= -MOST_OWED * ahead => -1.0,
-            Some(_) if request.bound == Some(i) => -0.5,
             Some(key) => {
                 let drawn = fastrand::Rng::with_seed(key ^ e.alias.rotate_left(32)).f64();
-                -(1.0 - drawn).ln() / self.weight(now, e)
+                let place = request.bound.iter().position(|b| *b == i);
+                place.map_or(-(1.0 - drawn).ln() / self.weight(now, e), |p| -1.0 / (p as f64 + 2.0))
             }
         }
     }
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -25,7 +25,7 @@
     pub aim: f64,
     pub arrived: Micros,
     pub key: Option<u64>,
-    pub bound: Option<EndpointId>,
+    pub bound: Vec<EndpointId>,
     /// When it stops waiting for a bulwark, and when it must have its final answer.
     pub expires: Micros,
     pub due: Micros,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -188,7 +188,7 @@
                     class: class.ok_or(format!("demand: unknown Profile {profile}"))?,
                     tenant: self.tenants.iter().position(|t| Some(t.as_str()) == project),
                     key: line.may("PartitionKey")?,
-                    bound: None,
+                    bound: Vec::new(),
                     due: line.get("DueUs")?,
                     work: line.may("WorkHintUs")?.filter(|_| flags & 1 != 0),
                     repeat: flags & 2 != 0,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -154,7 +154,7 @@
         let id = self.next;
         self.next += 1;
         let due = self.now + left;
-        let new = NewRequest { id, class, tenant, key: Some(7), bound: None, due, work, repeat: false };
+        let new = NewRequest { id, class, tenant, key: Some(7), bound: Vec::new(), due, work, repeat: false };
         (id, self.event(Event::Request(new)))
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -312,7 +312,7 @@
         class: SAFE,
         tenant: None,
         key: None,
-        bound: None,
+        bound: Vec::new(),
         due,
         work: None,
         repeat: true,
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -78,7 +78,7 @@
                     class: SAFE,
                     tenant: None,
                     key: None,
-                    bound: None,
+                    bound: Vec::new(),
                     due,
                     work: None,
                     repeat: n > 0,
