--- a/crates/bindings/src/exchange.rs
+++ b/crates/bindings/src/exchange.rs
@@ -32,7 +32,9 @@
         let (newest, oldest) = (self.times.slot(now + self.times.skew), self.times.slot(now));
         for (process, phase) in piece.phases().filter(|(_, phase)| phase.since.0 <= newest) {
             // One that finds no room stops all bindings here until it does.
-            let _ = self.phases.merge(process, phase);
+            if self.phases.takes(process, phase, oldest, &self.times) {
+                let _ = self.phases.merge(process, phase);
+            }
         }
         for (process, epoch, member) in piece.reports() {
             self.phases.report(process, epoch, member);
--- a/crates/bindings/src/histories.rs
+++ b/crates/bindings/src/histories.rs
@@ -12,6 +12,7 @@
 use crate::time::Times;
 use crate::word::Process;
 use crate::{Micros, mix};
+use linenproxy_common::units::Time;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
@@ -23,6 +24,12 @@
 /// in 10^14 is not reached.
 const SENDS: usize = 9;
 
+/// Lives as short as they can be beside the spread, so that much ages out in a history.
+fn section() -> BindingsSection {
+    let (life_new, life_held) = (Time::ms(6000), Time::ms(12_000));
+    BindingsSection { life_new, life_held, ..BindingsSection::default() }
+}
+
 fn process(name: u64) -> Process {
     Process { name, started: 7 }
 }
@@ -68,7 +75,7 @@
 impl World {
     fn new(seed: u64, members: usize, capacity: usize, guards: Guards) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let times = BindingsSection::default().times();
+        let times = section().times();
         let loss = [0.0, 0.1, 0.3][rng.usize(..3)];
         let mut world = Self {
             t: EPOCH + rng.i64(0..times.slot),
@@ -101,7 +108,7 @@
     fn boot(&mut self, i: usize, offset: Micros, founds: bool) -> Node {
         self.sent += 1;
         let (members, life) = (self.cut.len(), self.sent);
-        let rates = BindingsSection::default().rates(members as u32);
+        let rates = section().rates(members as u32);
         let number = member(i as u64);
         let mut bindings = Bindings::new(self.t + offset, self.times, self.capacity, rates, number, founds);
         (bindings.guards, bindings.telling.guards, bindings.table.guards) =
--- a/crates/bindings/src/phase.rs
+++ b/crates/bindings/src/phase.rs
@@ -133,10 +133,16 @@
         state.complete
     }
 
-    /// Forgets processes that are not listed any more, once no word on them can be alive anywhere.
+    /// Whether what another tells of it is to be taken in: what all may have forgotten by now is not learnt anew.
+    pub fn takes(&self, process: Process, phase: Phase, slot: Slot, times: &Times) -> bool {
+        slot < phase.since.0.saturating_add(times.remembered()) || self.known.contains_key(&process)
+    }
+
+    /// Forgets processes that have come back, or are not listed any more, once no word of before can be alive anywhere.
     pub fn forget(&mut self, slot: Slot, times: &Times, listed: impl Fn(Process) -> bool) {
         let long = times.remembered();
-        self.known.retain(|process, s| slot < s.phase.since.0.saturating_add(long) || listed(*process));
+        let recent = |phase: &Phase| slot < phase.since.0.saturating_add(long);
+        self.known.retain(|process, s| recent(&s.phase) || s.phase.leaves && listed(*process));
         self.overflowed &= self.known.len() >= MOST_PHASES;
     }
 }
@@ -195,7 +201,15 @@
         assert!(phases.whole());
         assert_eq!(phases.merge(Process { name: 99, started: 0 }, leaves(0, 0)), Err(NotBegun::TooMany));
         assert!(!phases.whole());
-        phases.forget(1 << 40, &BindingsSection::default().times(), |_| false);
+        let times = BindingsSection::default().times();
+        phases.forget(1 << 40, &times, |p| p == P);
+        assert_eq!(phases.iter().map(|(p, _)| p).collect::<Vec<_>>(), [P]);
+        let late = times.remembered();
+        assert!(phases.takes(P, leaves(3, 0), late, &times));
+        phases.forget(1 << 40, &times, |_| false);
+        assert!(
+            !phases.takes(P, leaves(3, 0), late, &times) && phases.takes(P, leaves(3, 0), late - 1, &times)
+        );
         assert!(phases.whole() && phases.iter().next().is_none());
     }
 }
--- a/crates/bindings/src/section.rs
+++ b/crates/bindings/src/section.rs
@@ -42,12 +42,12 @@
             enabled: false,
             // A fifth of the shortest life that divides: lives are exact to one slot.
             slot: Time::ms(500),
-            // Servers remember a key for 2.3 to 12 s: what is met once may be forgotten at half of that, what is met
-            // again is worth the whole.
-            life_new: Time::ms(6000),
-            life_held: Time::ms(12_000),
-            // Nine sends at ten a second reach 10,000 members in 0.8 s; the rest is for loss.
-            spread: Time::ms(2000),
+            // Servers remember a key for 2.3 to 12 s from its last use there. The longest of these for what was met once; what
+            // is met again lives three times as long, as each renewal costs words, and a cold pick no more than any other.
+            life_new: Time::ms(12_000),
+            life_held: Time::ms(36_000),
+            // Twice the five pulses that reach 60 members; with three in ten lost, the rest too.
+            spread: Time::ms(3000),
             // As long as a fresh server takes to be warm (7.4 s): the others then get a twentieth more a second.
             moving: Time::ms(8000),
             silence: Time::ms(4000),
@@ -55,8 +55,8 @@
             // The longest deadline that the platform knows is 4 s.
             longest_use: Time::ms(5000),
             keys: 16_384,
-            // 13 bytes each, in nine sends: 23 kB a second and member at the most.
-            words_per_s: 200.0,
+            // Some 15 bytes each, in twelve sends: 9 kB a second and member at the most.
+            words_per_s: 50.0,
         }
     }
 }
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -1,6 +1,7 @@
 //! Auditors: each holds one rule of the public pages against the record of a play. They share no code with what they
 //! audit. Changes with those rules.
 
+mod ageing;
 mod answers;
 mod blackouts;
 mod capacity;
@@ -16,8 +17,9 @@
 use crate::plan::Plan;
 use crate::record::{Entry, Seen};
 use crate::{SECOND, Us};
+use ageing::ageing;
 pub use capacity::capacities;
-use clear::clears;
+use clear::{clears, picks};
 use serde::Serialize;
 use std::fmt;
 
@@ -62,6 +64,7 @@
             Self::Capacity => "capacity",
             Self::Tokens => "tokens",
             Self::Clear => "clear",
+            Self::Ageing => "ageing",
             Self::Blackout => "blackout",
         })
     }
@@ -100,6 +103,13 @@
     findings
 }
 
+/// Holds the rules of bindings against a play that began at that Unix time, in milliseconds.
+pub fn audit_bindings(plan: &Plan, began_ms: u64, record: &[Entry]) -> Vec<Finding> {
+    let mut findings = ageing(plan, began_ms, record);
+    findings.extend(picks(record));
+    findings
+}
+
 fn processes(record: &[Entry], findings: &mut Vec<Finding>) {
     for (at, seen) in record {
         if let Seen::StewardBroken { what } = seen {
--- /dev/null
+++ b/crates/lab/src/audit/ageing.rs
@@ -0,0 +1,243 @@
+//! Bindings age out alike everywhere: nothing comes back, nothing goes early, and members that hear each other hold the same.
+//! Read from dumps of all members and from what servers answered. Changes with how bindings age (docs/bindings.md).
+
+use super::{Finding, Rule};
+use crate::Us;
+use crate::dumps::{Dump, Held, Place};
+use crate::plan::Plan;
+use crate::record::{Entry, Seen};
+use crate::servers::arrival_of;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// As configured unless something else is said: the length of a slot, lives in slots, how far clocks may be off, and how long
+/// a word needs.
+const SLOT: Us = 500_000;
+const LIFE_NEW: i64 = 24;
+const LIFE_AGAIN: i64 = 72;
+const SKEW: Us = 500_000;
+const SPREAD: Us = 3_000_000;
+/// What an answer is under way, a dump takes, and members' looks are apart.
+const SLACK: Us = 1_500_000;
+/// Places that are kept of a key: who has as many need not have a further one.
+const PLACES: usize = 2;
+/// Part of what members should hold that may be missing: datagrams are lost, and what carries a word may miss a member.
+const MISSED: f64 = 0.01;
+/// Fewer looks than this tell nothing of a part.
+const LEAST: usize = 200;
+
+type Binding = (Place, u64);
+
+/// What one sidecar held, and what of it was gone.
+#[derive(Default)]
+struct Member {
+    held: HashMap<Binding, i64>,
+    gone: HashMap<Binding, i64>,
+    /// Its last dumps in time, and since when it hears the others at each.
+    dumps: Vec<(Us, Dump)>,
+}
+
+fn alive(dump: &Dump) -> impl Iterator<Item = &Held> {
+    dump.held.iter().filter(|held| dump.slot < held.ends)
+}
+
+/// Holds all dumps of a play against each other and against what was answered.
+pub fn ageing(plan: &Plan, began_ms: u64, record: &[Entry]) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let (mut members, mut of) = (BTreeMap::<usize, Member>::new(), HashMap::new());
+    let mut used: HashMap<(u64, usize), Vec<Us>> = HashMap::new();
+    let mut closed: HashSet<usize> = HashSet::new();
+    for (at, seen) in record {
+        match seen {
+            Seen::Attempt { number, request: Some(request), server, .. } => {
+                if let Some(arrival) = plan.arrivals.get(arrival_of(*request)) {
+                    of.insert(*number, (arrival.key, *server));
+                }
+            }
+            Seen::AttemptAnswered { number, status: 200, .. } => {
+                if let Some(of) = of.remove(number) {
+                    used.entry(of).or_default().push(*at);
+                }
+            }
+            Seen::Told { server, state, .. } if *state == crate::directory::State::Leaving => {
+                closed.insert(*server);
+            }
+            Seen::ServerDown { server } => drop(closed.insert(*server)),
+            Seen::SidecarDown { sidecar, .. } => drop(members.remove(sidecar)),
+            Seen::Dump(dump) => {
+                // By a clock that is off it tells of other slots.
+                if plan.sidecars.get(dump.sidecar).is_some_and(|s| s.clock_offset_ms != 0) {
+                    continue;
+                }
+                let member = members.entry(dump.sidecar).or_default();
+                comes_back(member, *at, dump, began_ms, &used, &mut findings);
+                member.dumps.push((*at, (**dump).clone()));
+            }
+            _ => {}
+        }
+    }
+    findings.extend(differs(&members, &closed));
+    findings
+}
+
+/// What was gone is not there again with no later end, and nothing was used later than servers know.
+fn comes_back(
+    member: &mut Member,
+    at: Us,
+    dump: &Dump,
+    began_ms: u64,
+    used: &HashMap<(u64, usize), Vec<Us>>,
+    findings: &mut Vec<Finding>,
+) {
+    let mut broken = |what: String| findings.push(Finding { rule: Rule::Ageing, at, what });
+    let now: HashMap<Binding, i64> = alive(dump).map(|held| ((held.place, held.epoch), held.ends)).collect();
+    for held in alive(dump) {
+        let (binding, sidecar) = ((held.place, held.epoch), dump.sidecar);
+        if member.gone.get(&binding).is_some_and(|gone| held.ends <= *gone) {
+            broken(format!("{:?} was gone at sidecar {sidecar} and is back", held.place));
+        }
+        let life = if held.again { LIFE_AGAIN } else { LIFE_NEW };
+        // The beginning of the slot of its last use, on the clock of the play.
+        let last = (held.ends - life) * SLOT as i64 - (began_ms * 1000) as i64;
+        let truly = used.get(&(held.place.key, held.place.server)).and_then(|times| times.last());
+        let latest = truly.map_or(i64::MIN, |at| (*at + SKEW + SLACK) as i64);
+        if last > latest {
+            let late = truly.map(|at| last - *at as i64);
+            broken(format!("{:?} at sidecar {sidecar} tells of a use {late:?} us after any", held.place));
+        }
+    }
+    for (binding, ends) in member.held.drain() {
+        if !now.contains_key(&binding) {
+            member.gone.insert(binding, ends);
+        }
+    }
+    member.held = now;
+}
+
+/// What most members that hear the others held for as long as a word needs, all of them hold: whatever is missing at some
+/// went early there, or came never.
+fn differs(members: &BTreeMap<usize, Member>, closed: &HashSet<usize>) -> Option<Finding> {
+    let (mut looked, mut missed) = (0, 0);
+    let (mut first, mut example) = (0, String::new());
+    let ends = members.values().filter_map(|m| m.dumps.last()).map(|(at, _)| *at).max().unwrap_or(0);
+    let needs = SPREAD + SLACK;
+    let mut round = needs;
+    while round <= ends {
+        // Who heard all the while: the dumps around the two instants.
+        let at = |m: &Member, t: Us| m.dumps.partition_point(|(at, _)| *at <= t).checked_sub(1);
+        let heard: Vec<(&Dump, &Dump)> = members
+            .values()
+            .filter_map(|m| {
+                let (then, now) = (at(m, round - needs)?, at(m, round)?);
+                let fresh = |n: usize, t: Us| t - m.dumps[n].0 < SLACK;
+                let all = m.dumps[then..=now].iter().all(|(_, dump)| dump.hears);
+                let steady = all && fresh(then, round - needs) && fresh(now, round);
+                steady.then(|| (&m.dumps[then].1, &m.dumps[now].1))
+            })
+            .collect();
+        let mut held: HashMap<Place, usize> = HashMap::new();
+        let edge = ((needs + 2 * SKEW) / SLOT) as i64 + 2;
+        for (then, _) in &heard {
+            for h in
+                then.held.iter().filter(|h| h.ends > then.slot + edge && !closed.contains(&h.place.server))
+            {
+                *held.entry(h.place).or_default() += 1;
+            }
+        }
+        held.retain(|_, count| *count * 2 > heard.len());
+        for (_, now) in &heard {
+            let mut places: HashMap<u64, Vec<Place>> = HashMap::new();
+            alive(now).for_each(|h| places.entry(h.place.key).or_default().push(h.place));
+            for place in held.keys() {
+                let here = places.get(&place.key);
+                let (has, full) = here.map_or((false, false), |p| (p.contains(place), p.len() >= PLACES));
+                looked += 1;
+                if !has && !full {
+                    missed += 1;
+                    if example.is_empty() {
+                        (first, example) = (round, format!("{place:?} at sidecar {}", now.sidecar));
+                    }
+                }
+            }
+        }
+        round += needs;
+    }
+    let part = missed as f64 / f64::max(looked as f64, 1.0);
+    (looked >= LEAST && part > MISSED).then(|| Finding {
+        rule: Rule::Ageing,
+        at: first,
+        what: format!("{missed} of {looked} bindings that most held were missing at some: first {example}"),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::draw::draw;
+    use crate::experiment::Experiment;
+
+    const FIRST: i64 = 1000;
+
+    /// Ten members that hold the same fifty bindings, each used once and told of; every second one dump of each.
+    fn play(change: impl Fn(usize, i64, &mut Dump)) -> Vec<Finding> {
+        let experiment = Experiment { name: "ageing".to_owned(), ..Experiment::default() };
+        let mut plan = draw(&experiment, 1);
+        plan.arrivals.truncate(50);
+        let mut record = Vec::new();
+        for (number, arrival) in plan.arrivals.iter_mut().enumerate() {
+            arrival.key = number as u64;
+            let (number, server) = (number as u64, number % 5);
+            let request = Some(number << 4);
+            record.push((1, Seen::Attempt { number, request, sidecar: 0, server, began: 1 }));
+            record.push((2, Seen::AttemptAnswered { number, status: 200, unprocessed: false }));
+        }
+        for second in 0..40 {
+            for sidecar in 0..10 {
+                let place = |key: u64| Place { key, server: key as usize % 5, started_ms: 0 };
+                let held = |key| Held { place: place(key), epoch: 0, ends: FIRST + LIFE_AGAIN, again: true };
+                let slot = FIRST + second * 2;
+                let held = (0..50).map(held).filter(|h| slot < h.ends).collect();
+                let mut dump = Dump { sidecar, slot, hears: true, held, picks: Vec::new() };
+                change(sidecar, second, &mut dump);
+                record.push((second as Us * 1_000_000 + 3, Seen::Dump(Box::new(dump))));
+            }
+        }
+        ageing(&plan, (FIRST * SLOT as i64 / 1000) as u64, &record)
+    }
+
+    #[test]
+    fn what_ages_out_alike_is_not_complained_of() {
+        assert_eq!(play(|_, _, _| {}), []);
+        // Nor one that says that it hears nobody.
+        assert_eq!(
+            play(|sidecar, second, dump| if sidecar == 3 && second > 9 {
+                (dump.hears, dump.held) = (false, Vec::new());
+            }),
+            []
+        );
+    }
+
+    #[test]
+    fn what_comes_back_goes_early_or_was_never_used_is_found() {
+        let words =
+            |findings: Vec<Finding>| findings.into_iter().map(|f| f.what).collect::<Vec<_>>().join("; ");
+        let back = play(|sidecar, second, dump| {
+            if sidecar == 2 && second == 9 {
+                dump.held.clear()
+            }
+        });
+        assert!(words(back).contains("is back"));
+        let early = play(|sidecar, second, dump| {
+            if sidecar < 4 && second > 20 {
+                dump.held.clear()
+            }
+        });
+        assert!(words(early).contains("were missing"));
+        let later = |held: &mut Held| held.ends += 9;
+        let never = play(|sidecar, _, dump| {
+            if sidecar == 5 {
+                dump.held.iter_mut().for_each(later)
+            }
+        });
+        assert!(words(never).contains("tells of a use"));
+    }
+}
--- a/crates/lab/src/audit/clear.rs
+++ b/crates/lab/src/audit/clear.rs
@@ -1,6 +1,8 @@
-//! A server is taken only once nothing runs there any more. Changes with when a server counts as clear.
+//! A server is taken only once nothing runs there any more, and nobody picks by a binding to a process that is clear. Changes
+//! with when a server counts as clear.
 
 use super::{Finding, Rule};
+use crate::Us;
 use crate::record::{Act, Entry, Seen};
 use std::collections::{HashMap, HashSet};
 
@@ -37,6 +39,38 @@
     findings
 }
 
+/// What a sidecar's page and the lab's clock may be apart.
+const SLACK: Us = 150_000;
+
+/// Holds picks by bindings, as sidecars tell of them, against the processes that were clear by then.
+pub fn picks(record: &[Entry]) -> Vec<Finding> {
+    let mut clear: HashMap<usize, Us> = HashMap::new();
+    let mut found: HashSet<(usize, usize)> = HashSet::new();
+    let mut findings = Vec::new();
+    for (at, seen) in record {
+        match seen {
+            Seen::Cleared { server, .. } => drop(clear.entry(*server).or_insert(*at)),
+            // Another process, or another epoch of this one.
+            Seen::ServerUp { server } | Seen::Stays { server } => drop(clear.remove(server)),
+            Seen::Dump(dump) => {
+                for (server, started, last) in &dump.picks {
+                    let since = clear.get(server).filter(|since| *started == 0 && *last > **since + SLACK);
+                    if let Some(since) = since.filter(|_| found.insert((dump.sidecar, *server))) {
+                        let late = (last - since) / 1000;
+                        let what = format!(
+                            "sidecar {} picked server {server} by a binding {late} ms after it was clear",
+                            dump.sidecar
+                        );
+                        findings.push(Finding { rule: Rule::Clear, at: *at, what });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    findings
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -49,4 +83,29 @@
         assert_eq!(clears(&[attempt.clone(), take.clone()]).len(), 1);
         assert_eq!(clears(&[attempt, answered, take]), []);
     }
+
+    #[test]
+    fn a_pick_by_a_binding_to_a_process_that_was_clear_is_found() {
+        let dump = |at, last| {
+            let picks = vec![(4, 0, last)];
+            (
+                at,
+                Seen::Dump(Box::new(crate::dumps::Dump {
+                    sidecar: 1,
+                    slot: 0,
+                    hears: true,
+                    held: Vec::new(),
+                    picks,
+                })),
+            )
+        };
+        let cleared = (2_000_000, Seen::Cleared { server: 4, token: 7 });
+        let stays = (2_100_000, Seen::Stays { server: 4 });
+        assert_eq!(picks(&[dump(1, 1), cleared.clone(), dump(3_000_000, 1_900_000)]), []);
+        assert_eq!(
+            picks(&[cleared.clone(), dump(3_000_000, 2_500_000), dump(4_000_000, 3_500_000)]).len(),
+            1
+        );
+        assert_eq!(picks(&[cleared, stays, dump(3_000_000, 2_500_000)]), []);
+    }
 }
--- a/crates/lab/src/draw/faults.rs
+++ b/crates/lab/src/draw/faults.rs
@@ -54,6 +54,13 @@
                     self.steps.push((turn(n), Step::SidecarRestart(i)));
                     continue;
                 }
+                FaultKind::ServersLeave => {
+                    let gone = until + self.list_lag + DRAINS_FOR;
+                    self.steps.extend([(at, Step::ServerLeaves(i)), (gone, Step::ServerDown(i))]);
+                    self.changes.push(Change { at: until, server: i, state: State::Leaving });
+                    self.changes.push(Change { at: gone, server: i, state: State::Left });
+                    continue;
+                }
                 FaultKind::ServersReplace => {
                     self.replace(i, turn(n));
                     continue;
--- /dev/null
+++ b/crates/lab/src/dumps.rs
@@ -0,0 +1,117 @@
+//! Reads of every sidecar which keys are bound where, for those that audit it. Changes with the form of that page.
+
+use crate::Us;
+use crate::net::Clock;
+use crate::page::ask;
+use crate::plan::Plan;
+use crate::record::{Record, Seen};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// What stands in a variant's configuration where keys are bound, and the lab so reads what is.
+pub const BINDINGS: &str = "[fleet.bindings]";
+/// How often a sidecar is asked, and how long it may take: one that is stopped answers nothing.
+const EVERY: Duration = Duration::from_secs(1);
+const WITHIN: Duration = Duration::from_millis(900);
+
+/// A key at a process of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Place {
+    /// The key.
+    pub key: u64,
+    /// The server, a place in the plan.
+    pub server: usize,
+    /// When its process started, in milliseconds of Unix time; 0 where that is long ago.
+    pub started_ms: i64,
+}
+
+/// One that a sidecar holds for bound.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Held {
+    /// Which.
+    pub place: Place,
+    /// The epoch of the process.
+    pub epoch: u64,
+    /// The slot in which it ends.
+    pub ends: i64,
+    /// The key was met there again.
+    pub again: bool,
+}
+
+/// What a sidecar holds at one instant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dump {
+    /// The sidecar.
+    pub sidecar: usize,
+    /// The slot of now, by its clock.
+    pub slot: i64,
+    /// It uses bindings at present.
+    pub hears: bool,
+    /// What it holds.
+    pub held: Vec<Held>,
+    /// Picks by a binding: the server, the start of its process, and when the last one was.
+    pub picks: Vec<(usize, i64, Us)>,
+}
+
+fn read(sidecar: usize, now: Us, page: &Value, servers: &HashMap<String, usize>) -> Option<Dump> {
+    let server = |of: &Value| servers.get(of["server"].as_str()?).copied();
+    let held = |b: &Value| {
+        let started_ms = b["started_ms"].as_i64()?;
+        Some(Held {
+            place: Place { key: b["key"].as_u64()?, server: server(b)?, started_ms },
+            epoch: b["epoch"].as_u64()?,
+            ends: b["ends"].as_i64()?,
+            again: b["held"].as_bool()?,
+        })
+    };
+    let picks = |p: &Value| {
+        let ago = Us::try_from(p["last_ms_ago"].as_i64()?).ok()? * 1000;
+        Some((server(p)?, p["started_ms"].as_i64()?, now.saturating_sub(ago)))
+    };
+    Some(Dump {
+        sidecar,
+        slot: page["slot"].as_i64()?,
+        hears: page["hears"].as_bool()?,
+        held: page["bindings"].as_array()?.iter().filter_map(held).collect(),
+        picks: page["picks"].as_array()?.iter().filter_map(picks).collect(),
+    })
+}
+
+/// Follows one sidecar for good.
+pub async fn follow(sidecar: usize, at: SocketAddr, plan: Arc<Plan>, clock: Clock, record: Record) {
+    let names = plan.servers.iter().enumerate().map(|(number, spec)| (spec.name.clone(), number));
+    let servers: HashMap<String, usize> = names.collect();
+    // Not all at once.
+    sleep(EVERY * (sidecar % 10) as u32 / 10).await;
+    loop {
+        sleep(EVERY).await;
+        let page = ask(at, "GET", "/fleet/bindings/dump", None, WITHIN).await;
+        let now = clock.now();
+        if let Some(dump) = page.and_then(|(_, page)| read(sidecar, now, &page, &servers)) {
+            record.note(now, Seen::Dump(Box::new(dump)));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_page_is_read_and_servers_that_are_not_of_the_play_are_left_out() {
+        let servers = HashMap::from([("a".to_owned(), 3)]);
+        let binding = |server: &str| json!({"key": 7, "server": server, "started_ms": 5, "epoch": 1, "ends": 9, "held": true});
+        let page = json!({"slot": 8, "hears": true, "bindings": [binding("a"), binding("b"), {"key": 1}],
+            "picks": [{"server": "a", "started_ms": 5, "count": 2, "last_ms_ago": 4}]});
+        let dump = read(2, 10_000, &page, &servers).expect("it is a page");
+        let place = Place { key: 7, server: 3, started_ms: 5 };
+        assert_eq!(dump.held, [Held { place, epoch: 1, ends: 9, again: true }]);
+        assert_eq!((dump.sidecar, dump.picks), (2, vec![(3, 5, 6000)]));
+        assert_eq!(read(2, 0, &json!({"slot": 8}), &servers), None);
+    }
+}
--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -41,6 +41,8 @@
     ServersFail,
     /// Servers are replaced one after the other: each drains and leaves, and a cold one with another name comes.
     ServersReplace,
+    /// Sidecars are told that servers leave; when it ends they drain, and are gone once they have had time for that.
+    ServersLeave,
     /// Servers that a platform returns do not come back.
     ReturnsNever,
     /// They come back `size` milliseconds late.
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -42,6 +42,10 @@
     ProcessorMs,
     /// Resident memory of a sidecar at its end, in megabytes; 0 in simulated time.
     MemoryMb,
+    /// Most attempts at one server at once, over the cores and places to wait that it has; the fullest of all.
+    Deepest,
+    /// Servers that were told to leave and were clear in the end, over all of them; 1 where none was.
+    Cleared,
     /// Servers pushed over while cold.
     Fallen,
     /// Median time from a request's first try to its answer, in milliseconds.
@@ -76,7 +80,7 @@
 
 impl Measure {
     /// All of them.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 35] = [
         Self::Served,
         Self::ServedWorstClass,
         Self::ServedWorstSecond,
@@ -95,6 +99,8 @@
         Self::FleetBytes,
         Self::ProcessorMs,
         Self::MemoryMb,
+        Self::Deepest,
+        Self::Cleared,
         Self::Fallen,
         Self::P50Ms,
         Self::P99Ms,
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -103,6 +103,8 @@
     Datagrams(FaultKind, f64),
     /// A member that is no sidecar lies, or no longer so.
     Lies(bool),
+    /// Sidecars are told that a server leaves.
+    ServerLeaves(usize),
     /// What discovery's agents do.
     Agents(Mood),
     /// How a server comes back that the platform returns.
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -5,8 +5,9 @@
 mod stage;
 
 use crate::apps::Apps;
-use crate::audit::{audit, audit_windows};
+use crate::audit::{audit, audit_bindings, audit_windows};
 use crate::crew::carry_out;
+use crate::dumps::BINDINGS;
 use crate::experiment::{Carried, Experiment, Variant};
 use crate::fronts::Fronts;
 use crate::plan::Plan;
@@ -135,6 +136,9 @@
     if variant.windows == Carried::Asked {
         findings.extend(audit_windows(plan, &record));
     }
+    if variant.config.contains(BINDINGS) {
+        findings.extend(audit_bindings(plan, stage.clock.began_ms(), &record));
+    }
     let mut spent = Vec::new();
     for sidecar in 0..stage.sidecars.len() {
         if let Some(process) = stage.process(sidecar) {
--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -5,6 +5,7 @@
 use crate::agent::Agent;
 use crate::catalogue::Catalogue;
 use crate::datagrams::Datagrams;
+use crate::dumps::{BINDINGS, follow};
 use crate::experiment::{Carried, Experiment, FaultKind, Variant};
 use crate::fleetpages::Truth;
 use crate::fronts::Fronts;
@@ -126,6 +127,10 @@
                     let truth = Truth { plan, clock: clock.clone(), servers: Arc::clone(&servers), platform };
                     tasks.spawn(truth.tell(sidecar, listener));
                 }
+                if variant.config.contains(METRICS) && variant.config.contains(BINDINGS) {
+                    let both = (clock.clone(), record.clone());
+                    tasks.spawn(follow(sidecar, metrics, Arc::clone(plan), both.0, both.1));
+                }
                 if variant.config.contains(METRICS) {
                     variant.config = variant.config.replace(METRICS, &metrics.to_string());
                     tasks.spawn(observe(sidecar, metrics, clock.clone(), record.clone()));
@@ -168,7 +173,11 @@
         }
         _ => None,
     };
+    let binds = variant.config.contains(METRICS) && variant.config.contains(BINDINGS);
     Ok(Stage {
+        plan: Arc::clone(plan),
+        binds: binds.then_some(pages),
+        asking: Mutex::default(),
         stewards,
         clock,
         record,
--- a/crates/lab/src/play/stage.rs
+++ b/crates/lab/src/play/stage.rs
@@ -2,8 +2,9 @@
 
 use crate::datagrams::Datagrams;
 use crate::fronts::Fronts;
+use crate::leaving::{Leaves, ask_until_clear};
 use crate::net::{Clock, Net};
-use crate::plan::{Mood, Step};
+use crate::plan::{Mood, Plan, Step};
 use crate::platform::Platform;
 use crate::record::{Record, Seen};
 use crate::servers::Servers;
@@ -36,6 +37,11 @@
     pub(super) fronts: Option<Fronts>,
     pub(super) stewards: Option<Arc<Stewards>>,
     pub(super) sidecars: Vec<Sidecar>,
+    pub(super) plan: Arc<Plan>,
+    /// Where sidecars' pages are, where they bind keys.
+    pub(super) binds: Option<Vec<SocketAddr>>,
+    /// Whoever asks whether servers are clear.
+    pub(super) asking: Mutex<JoinSet<()>>,
     /// Faults that take their time, such as a stop.
     pub(super) under_way: Mutex<JoinSet<()>>,
 }
@@ -70,6 +76,7 @@
             Step::Resets(share) => self.net.resets(share),
             Step::Datagrams(kind, share) => self.datagrams.send_modify(|faults| faults.set(kind, share)),
             Step::Lies(on) => drop(self.lies.send_replace(on)),
+            Step::ServerLeaves(server) => self.leaves(server).await,
             Step::Agents(mood) => drop(self.mood.send_replace(mood)),
             Step::SidecarPause(sidecar, on) => {
                 if let Some(process) = self.process(sidecar) {
@@ -86,6 +93,19 @@
         }
     }
 
+    /// Asks a sidecar whether a server is clear, where sidecars say so. Other steps do not wait.
+    async fn leaves(&self, server: usize) {
+        let Some(pages) = &self.binds else { return };
+        let (token, name) = (server as u64 + 1, self.plan.servers[server].name.clone());
+        let asks = ask_until_clear(
+            Leaves { server, name, token },
+            pages[server % pages.len()],
+            self.clock.clone(),
+            self.record.clone(),
+        );
+        self.asking.lock().await.spawn(asks);
+    }
+
     /// Starts a sidecar, after a planned stop where it runs. Both take their time, and other steps do not wait.
     async fn restart(self: &Arc<Self>, sidecar: usize, stop: bool) {
         let this = Arc::clone(self);
@@ -139,6 +159,7 @@
     pub(super) async fn end(self: &Arc<Self>) {
         let mut under_way = std::mem::take(&mut *self.under_way.lock().await);
         while under_way.join_next().await.is_some() {}
+        self.asking.lock().await.shutdown().await;
         if let Some(stewards) = &self.stewards {
             stewards.end().await;
         }
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -3,6 +3,7 @@
 
 use crate::Us;
 use crate::directory::State;
+use crate::dumps::Dump;
 use crate::experiment::StewardFaultKind;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -181,6 +182,20 @@
         /// Where.
         stands: Stands,
     },
+    /// A sidecar tells which keys are bound where.
+    Dump(Box<Dump>),
+    /// A sidecar answered that a server's process is clear.
+    Cleared {
+        /// The server.
+        server: usize,
+        /// The token by which it leaves.
+        token: u64,
+    },
+    /// Sidecars were told that it stays after all.
+    Stays {
+        /// The server.
+        server: usize,
+    },
     /// A sidecar's process is ready.
     SidecarUp {
         /// The sidecar.
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -739,7 +739,7 @@
             Step::Resets(share) => self.resets = share,
             Step::Datagrams(kind, share) => self.faults.set(kind, share),
             // Its list is drawn ahead here, and a call that fails changes nothing; nobody lies.
-            Step::Returns(..) | Step::Agents(_) | Step::Lies(_) => {}
+            Step::Returns(..) | Step::Agents(_) | Step::Lies(_) | Step::ServerLeaves(_) => {}
             Step::SidecarKill(sidecar) => {
                 let Some(instance) = self.current[sidecar].take() else { return };
                 self.instances[instance].dead = true;
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -1,5 +1,6 @@
 //! Turns the record of one play into figures and curves. Changes with how a figure is counted.
 
+mod bindings;
 mod maintenance;
 mod standing;
 mod trials;
@@ -11,6 +12,7 @@
 use crate::site::CLASSES;
 use crate::supervisor::Spent;
 use crate::{SECOND, Us};
+use bindings::bindings;
 use hdrhistogram::Histogram;
 use maintenance::maintenance;
 use serde::Serialize;
@@ -184,6 +186,7 @@
             .into_iter()
             .chain(maintenance(plan, record))
             .chain(standing(plan, record))
+            .chain(bindings(plan, record))
             .collect(),
         served: asked.iter().zip(&served).map(|(a, s)| if *a > 0.0 { s / a } else { 1.0 }).collect(),
         attempts: attempts_over_time,
