--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -46,8 +46,10 @@
     Capacity,
     /// No act with a token lower than one seen is carried out.
     Tokens,
-    /// A server is taken only once nothing runs there any more.
+    /// A server is taken only once nothing runs there any more; nobody picks by a binding to a process that is clear.
     Clear,
+    /// Bindings age out alike everywhere.
+    Ageing,
     /// Nothing is away by grant in a blackout.
     Blackout,
 }
