--- a/src/bin/tinflow/pages.rs
+++ b/src/bin/tinflow/pages.rs
@@ -31,10 +31,11 @@
             return Some(page);
         }
         match ask.path.as_str() {
-            "/fleet" | "/metrics" if ask.posted.is_some() => {
+            "/fleet" | "/fleet/servers" | "/metrics" if ask.posted.is_some() => {
                 Page::refused(StatusCode::METHOD_NOT_ALLOWED, "method", "this is read")
             }
             "/fleet" => Page::json(StatusCode::OK, &self.fleet?.census()),
+            "/fleet/servers" => Page::json(StatusCode::OK, &self.fleet?.servers()),
             "/metrics" => {
                 if let Some(fleet) = &self.fleet {
                     self.observer.fleet(&fleet.census());
