--- a/crates/common/src/pages.rs
+++ b/crates/common/src/pages.rs
@@ -56,6 +56,12 @@
         Some(Self { status, media: "application/json", text: text + "\n" })
     }
 
+    /// The same for programs, without spaces.
+    pub fn compact(what: &impl Serialize) -> Option<Self> {
+        let text = serde_json::to_string(what).ok()?;
+        Some(Self { status: StatusCode::OK, media: "application/json", text: text + "\n" })
+    }
+
     /// Why a posted body cannot be used, and the key that is wrong.
     pub fn refused(status: StatusCode, key: &str, reason: &str) -> Option<Self> {
         Self::json(status, &BTreeMap::from([("key", key), ("reason", reason)]))
--- a/src/bin/tinflow/bindings_pages.rs
+++ b/src/bin/tinflow/bindings_pages.rs
@@ -79,7 +79,7 @@
 pub fn page(host: &Host, ask: &Ask) -> Option<Page> {
     match (ask.path.as_str(), &ask.posted) {
         ("/fleet/bindings", None) => Page::json(StatusCode::OK, &figures(host)),
-        ("/fleet/bindings/dump", None) => Page::json(StatusCode::OK, &dump(host)),
+        ("/fleet/bindings/dump", None) => Page::compact(&dump(host)),
         ("/fleet/leaving", Some(body)) => answer(body, |process, epoch| {
             host.leaving(process, epoch).map(|clear| Answered { clear: clear.clear, epoch })
         }),
--- a/src/bin/tinflow/pages.rs
+++ b/src/bin/tinflow/pages.rs
@@ -35,7 +35,7 @@
                 Page::refused(StatusCode::METHOD_NOT_ALLOWED, "method", "this is read")
             }
             "/fleet" => Page::json(StatusCode::OK, &self.fleet?.census()),
-            "/fleet/servers" => Page::json(StatusCode::OK, &self.fleet?.servers()),
+            "/fleet/servers" => Page::compact(&self.fleet?.servers()),
             "/metrics" => {
                 if let Some(fleet) = &self.fleet {
                     self.observer.fleet(&fleet.census());
