--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -2,6 +2,7 @@
 
 mod bindings;
 mod maintenance;
+mod recovery;
 mod standing;
 mod trials;
 
@@ -15,6 +16,7 @@
 use bindings::bindings;
 use hdrhistogram::Histogram;
 use maintenance::maintenance;
+use recovery::recovery;
 use serde::Serialize;
 use standing::standing;
 use std::collections::{BTreeMap, HashMap};
@@ -187,6 +189,7 @@
             .chain(maintenance(plan, record))
             .chain(standing(plan, record))
             .chain(bindings(plan, record))
+            .chain(recovery(plan, record))
             .collect(),
         served: asked.iter().zip(&served).map(|(a, s)| if *a > 0.0 { s / a } else { 1.0 }).collect(),
         attempts: attempts_over_time,
--- a/src/bin/tinflow/pages.rs
+++ b/src/bin/tinflow/pages.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Fleet;
 use crate::messages::Inputs;
 use crate::observer::Observer;
+use crate::state::State;
 use hyper::StatusCode;
 use linenproxy_common::logging::Log;
 use linenproxy_common::pages::{Ask, Page};
@@ -20,6 +21,8 @@
     pub log: Rc<Log>,
     /// The membership, if any.
     pub fleet: Option<Fleet>,
+    /// What is kept on disk, if anything.
+    pub state: Option<State>,
 }
 
 impl Pages {
@@ -40,6 +43,9 @@
                 if let Some(fleet) = &self.fleet {
                     self.observer.fleet(&fleet.census());
                 }
+                if let (Some(state), Some(figures)) = (&self.state, self.observer.figures()) {
+                    state.count(&figures);
+                }
                 let survey = self.inputs.survey().await?;
                 self.observer.page(&survey, self.log.dropped()).map(Page::metrics)
             }
--- a/src/bin/tinflow/product.rs
+++ b/src/bin/tinflow/product.rs
@@ -9,6 +9,7 @@
 pub use crate::observer::Observer;
 use crate::pages::Pages;
 use crate::report::say;
+pub use crate::state::State;
 use clap::Parser;
 use linenproxy_common::cli::{self, Exit};
 use linenproxy_common::config::{self, Configuration, Contradiction};
@@ -16,6 +17,7 @@
 use linenproxy_common::metering::{Figures, MetricsSection};
 use linenproxy_common::pages::{self, Bounds};
 use linenproxy_fleet::section::FleetSection;
+use linenproxy_recovery::StateSection;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
 use std::path::PathBuf;
@@ -46,13 +48,15 @@
     log: LogSection,
     metrics: MetricsSection,
     fleet: FleetSection,
+    state: StateSection,
 }
 
 impl Configuration for Sections {
     fn check(&self) -> Result<(), Contradiction> {
         self.log.check()?;
         self.metrics.check()?;
-        self.fleet.check()
+        self.fleet.check()?;
+        self.state.check()
     }
 }
 
@@ -108,12 +112,18 @@
         }
     }
 
+    /// Begins a life in the state directory, where one is configured.
+    pub fn recover(&self, config: &mut Config, clock: Clock) -> Result<Option<State>, (String, ExitCode)> {
+        State::begin(&self.holds.state, &self.holds.fleet.cluster, config, clock)
+    }
+
     /// Joins the fleet, where one is configured.
     pub fn join(
         &self,
         config: &Config,
         inputs: &Inputs,
         clock: Clock,
+        state: Option<&State>,
     ) -> Result<Option<Fleet>, (String, ExitCode)> {
         let section = &self.holds.fleet;
         if !section.enabled {
@@ -125,7 +135,7 @@
         }
         let zone = config.decoded.settings.zone.map_or("", |zone| config.decoded.zones.name(zone));
         let zone = zone.get(..LONGEST_NAME).unwrap_or(zone);
-        match Fleet::join(section, &config.name, zone, inputs, clock) {
+        match Fleet::join(section, &config.name, zone, inputs, clock, state.and_then(State::incarnation)) {
             Ok(fleet) => Ok(Some(fleet)),
             Err(e) => {
                 let what = format!("cannot listen on fleet.listen {}: {e}", section.listen);
@@ -140,7 +150,11 @@
         observer: &Observer,
         inputs: &Inputs,
         fleet: Option<&Fleet>,
+        state: Option<&State>,
     ) -> Result<(), (String, ExitCode)> {
+        if let Some(state) = state {
+            state.host(inputs, config::written(&self.holds));
+        }
         let Some(figures) = observer.figures() else { return Ok(()) };
         let at = self.holds.metrics.address;
         let listener = std::net::TcpListener::bind(at)
@@ -157,6 +171,7 @@
             inputs: inputs.clone(),
             log: Rc::clone(&self.log),
             fleet: fleet.cloned(),
+            state: state.cloned(),
         };
         spawn_local(pages::serve(listener, self.bounds.clone(), move |ask| pages.clone().page(ask)));
         Ok(())
