--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -1,6 +1,7 @@
 //! Owns the decision module: everything that happens on the sockets becomes an event for it, and its actions
 //! are carried out. Nothing is decided here. Changes with how an event is told or an action is carried out.
 
+use crate::alarms::Alarms;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::descriptors::Limits;
@@ -19,14 +20,13 @@
 use crate::spaced::{Spaced, left_out};
 use crate::upstream::Upstream;
 use linenproxy::{Action, Balancer, Discovery, Event, ListUpdate, Listing, Micros, RequestId};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 /// Log lines about bad input from outside: one in this time.
 const COMPLAINT_SPACING: Duration = Duration::from_secs(5);
@@ -43,7 +43,7 @@
     upstream: Rc<Upstream>,
     asks: mpsc::UnboundedSender<Ask>,
     peers: Option<Peers>,
-    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    alarms: Alarms,
     /// Events that follow from actions.
     events: VecDeque<Event>,
     complaints: Spaced,
@@ -84,7 +84,7 @@
             pool: Rc::clone(&pool),
             asks,
             peers: peers.clone(),
-            timers: BinaryHeap::new(),
+            alarms: Alarms::new(clock),
             events: VecDeque::new(),
             complaints: Spaced::new(COMPLAINT_SPACING),
             observer,
@@ -109,20 +109,13 @@
     /// Runs for good.
     pub async fn run(mut self) {
         loop {
-            let next = self.timers.peek().map(|Reverse((at, _))| self.clock.instant(*at));
-            let timer = async {
-                match next {
-                    Some(at) => sleep_until(at).await,
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
                 biased;
                 input = self.inputs.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
                 },
-                () = timer => {}
+                () = self.alarms.wait() => {}
             }
             // Also after inputs, so that a stream of them can't hold up the timers.
             self.fire_timers();
@@ -131,10 +124,7 @@
 
     fn fire_timers(&mut self) {
         let now = self.clock.now();
-        while let Some(&Reverse((at, token))) = self.timers.peek()
-            && at <= now
-        {
-            self.timers.pop();
+        while let Some(token) = self.alarms.take(now) {
             self.deliver(Event::Timer(token));
         }
     }
@@ -216,7 +206,7 @@
                 spawn_local(upstream.probe(endpoint, inputs));
             }
             Action::SetTimer { after, token } => {
-                self.timers.push(Reverse((self.clock.now().saturating_add(after), token)));
+                self.alarms.set(after, token);
             }
             Action::Subscribe(on) => {
                 let _ = self.asks.send(if on { Ask::Watch } else { Ask::StopWatch });
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -1,6 +1,7 @@
 //! tinflow: a sidecar load balancer on real sockets. One thread; every task shares it.
 #![forbid(unsafe_code)]
 
+mod alarms;
 mod clock;
 mod config;
 mod connection;
