Ask again at once after a silent call, without a wait, and stay open where lists are pushed

(1) A second watch could fall silent as well, for up to 4 s: what the first missed came after 8 s, where it counts as told after 6 s. (2) Where lists are pushed, what the agent gets as discovery returns counts at once, but in a long outage up to 0.8 s of each call's gap had no call open, and after a reload in an outage, with calls of 1 s, nearly half of the time: a drain may then be heard 0.8 s late, 0.3 s are allowed. Change: watching.rs, pure, says how long a call waits and takes. After silence the next call goes at once and without a wait; every other one waits again, so that a slow agent is heard; where lists are asked for, the module is asked again after two silences.

--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -29,6 +29,7 @@
 mod spaced;
 mod stop;
 mod upstream;
+mod watching;
 
 use clock::Clock;
 use config::Config;
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -104,6 +104,9 @@
         await_that("the silent watch is given up and opened anew", || agent.watches(2) == 1);
         // It asks for what it missed, not for the whole list again.
         assert_eq!(agent.watches(1), 2, "{mode}");
+        // And without a wait, or a second silence would last as long as the first.
+        let waits: Vec<_> = agent.known().calls.iter().filter_map(|call| field(call, "wait_ms")).collect();
+        assert!(waits[0] > 0 && waits[1] == 0 && waits[2] > 0, "{mode}: {waits:?}");
         assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
         assert_eq!(old.requests(), 0);
     }
