Look at a client's socket itself before its connection is closed as idle

Cause: a process that was stopped and goes on finds its wait for events interrupted without any, and its timers due; the connection's idle timer then ends it although a request came meanwhile (inbound.rs, header_read_timeout). Change: inlet.rs reads the socket itself once a connection was quiet for so long that its timer may be due, whatever the runtime has heard; before a shutdown the last look is repeated (at most 3 times) while something unread is there. Test: fails without.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -4,6 +4,7 @@
 use crate::descriptors::Limits;
 use crate::facts::Lanes;
 use crate::handle::Handle;
+use crate::inlet::Inlet;
 use crate::report::say;
 use crate::serving::serve;
 use crate::spaced::{Spaced, left_out};
@@ -36,6 +37,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which the runtime sees what the system holds already.
 const LAST_LOOK: Duration = Duration::from_millis(2);
+/// How often it is given that time again, as more keeps coming. A request that is being answered holds up what came
+/// behind it, so this has to end.
+const MOST_LOOKS: usize = 3;
 /// Binds the address that clients connect to.
 pub fn bind(at: SocketAddr) -> io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -111,13 +115,15 @@
     let at_once = stop.clone();
     let service =
         service_fn(move |request| serve(Rc::clone(&lanes), handle.clone(), request, at_once.clone()));
+    let idle = if stopping { IDLE_AT_STOP } else { IDLE };
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(if stopping { IDLE_AT_STOP } else { IDLE })
+        .header_read_timeout(idle)
         .keep_alive(!stopping)
         .max_buf_size(LONGEST_HEAD);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let (inlet, look) = Inlet::new(stream, idle - LAST_LOOK);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(inlet), service));
     tokio::select! {
         biased;
         // What is wrong with a connection concerns its client alone, who has been told 400 or has left.
@@ -127,8 +133,13 @@
     }
     // A request that has come in but was not seen yet is still read: closing on it would cost its client a
     // second one.
-    if timeout(LAST_LOOK, connection.as_mut()).await.is_ok() {
-        return;
+    for _ in 0..MOST_LOOKS {
+        if timeout(LAST_LOOK, connection.as_mut()).await.is_ok() {
+            return;
+        }
+        if !look.unread() {
+            break;
+        }
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -15,6 +15,7 @@
 mod headers;
 mod hosts;
 mod inbound;
+mod inlet;
 mod listed;
 mod messages;
 #[cfg(feature = "product")]
--- a/tests/sidecar/connections.rs
+++ b/tests/sidecar/connections.rs
@@ -3,6 +3,7 @@
 use crate::ok;
 use crate::stubs::*;
 use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -70,3 +71,29 @@
         sidecar.ask(&request("look", "", "")).is_some_and(|a| a.status() == 200)
     });
 }
+
+// A process that is stopped and goes on finds its timers due before it hears of what has come meanwhile: the connection
+// would be closed as idle over a request that was not read.
+#[test]
+fn a_request_that_came_while_the_process_was_stopped_is_served() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let mut client = sidecar.connect();
+    let ask = |client: &mut TcpStream| {
+        client.write_all(request("book", "", "").as_bytes()).expect("the system takes it");
+    };
+    ask(&mut client);
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
+    sidecar.signal("-STOP");
+    let state = format!("/proc/{}/stat", sidecar.process.id());
+    await_that("it has stopped", || {
+        std::fs::read_to_string(&state).is_ok_and(|line| line.contains("(tinflow) T "))
+    });
+    ask(&mut client);
+    // Longer than a connection may be idle.
+    thread::sleep(Duration::from_millis(2600));
+    sidecar.signal("-CONT");
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
+    assert_eq!(endpoint.requests(), 2);
+}
