Follow a reload between SIGTERM and the end

Between SIGTERM and the end SIGHUP was not followed (main.rs). By the clocks no rule could break by it: a list counts 4 s after SIGHUP and the process ends 3.6 s after SIGTERM at the latest; but what is held may be tried again by an old list. The signal is now taken in until the end. The test ends without a call at the new address where the mend is missing.

--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -46,8 +46,8 @@
 use stop::Stop;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, sleep_until};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// How long new connections are accepted after SIGTERM: clients go on opening them for up to 400 ms.
 const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(500);
@@ -128,11 +128,27 @@
             _ = &mut running => return Err(failed("the engine has failed".to_owned())),
         }
     }
-    let told = tokio::time::Instant::now();
     say!(info, "tinflow", "told to stop");
     if let Some(fleet) = &fleet {
         fleet.leave();
     }
+    let ending = end(stop, accepting, longest);
+    tokio::pin!(ending);
+    // What is still held goes by the list, so discovery is followed to the end.
+    loop {
+        tokio::select! {
+            () = &mut ending => return Ok(()),
+            _ = hup.recv() => {
+                reload(&discovery, &fixed);
+                product.reload();
+            }
+        }
+    }
+}
+
+/// Takes what still comes, has what is held answered, and fails the rest in time.
+async fn end(stop: watch::Sender<Stop>, accepting: JoinHandle<()>, longest: Duration) {
+    let told = Instant::now();
     stop.send_replace(Stop::Closing);
     sleep(ACCEPT_AFTER_TERM).await;
     stop.send_replace(Stop::Closed);
@@ -144,12 +160,11 @@
     };
     tokio::pin!(all_closed);
     tokio::select! {
-        () = &mut all_closed => return Ok(()),
+        () = &mut all_closed => return,
         () = sleep_until(told + longest + ANSWER_AFTER_TERM) => {}
     }
     stop.send_replace(Stop::Now);
-    let _ = tokio::time::timeout(LAST_WRITES, all_closed).await;
-    Ok(())
+    let _ = timeout(LAST_WRITES, all_closed).await;
 }
 
 /// Takes in what may change while the sidecar runs: where discovery is. A file that can't be used changes nothing.
--- a/tests/sidecar/stopping.rs
+++ b/tests/sidecar/stopping.rs
@@ -36,3 +36,20 @@
     assert_eq!(read_message(&mut held).expect("an answer").status(), 502);
     assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0));
 }
+
+// What it still holds may be sent on by the list until it ends.
+#[test]
+fn told_to_stop_it_still_follows_discovery_to_where_a_reload_says() {
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let endpoint = Endpoint::start(|_| Reply::Silence);
+    let sidecar = Sidecar::start(&before, &[("s-1", &endpoint)]);
+    before.await_watch(1);
+    let mut held = sidecar.connect();
+    held.write_all(request("book", "", "").as_bytes()).expect("the sidecar takes it");
+    await_that("the request is out", || endpoint.requests() == 1);
+    after.publish(1, list(1, true, &[("s-1", endpoint.address, "active")]));
+    sidecar.terminate();
+    sidecar.reconfigure(|config| config.replace(&before.address.to_string(), &after.address.to_string()));
+    assert_eq!(read_message(&mut held).expect("an answer").status(), 502);
+    assert!(!after.calls().is_empty(), "it ended without having asked there");
+}
