--- a/crates/fleet/src/udp.rs
+++ b/crates/fleet/src/udp.rs
@@ -5,6 +5,8 @@
 //! datagrams wait for that: what they bring leaves no sooner, and one wake-up for each would cost more than all else here
 //! (Mogul and Ramakrishnan, "Eliminating Receive Livelock in an Interrupt-driven Kernel", ACM TOCS 15, 1997, p. 217).
 
+mod others;
+
 use crate::carrier::NotCarried;
 use crate::census::Servers;
 use crate::core::{Carried, Census, Core, Listed, TICK, Word};
--- /dev/null
+++ b/crates/fleet/src/udp/others.rs
@@ -0,0 +1,16 @@
+//! Who is there, for whoever hosts more than the fleet's own. Changes with what that one needs to know.
+
+use super::Fleet;
+use crate::core::Others;
+
+impl Fleet {
+    /// The hash of the own name.
+    pub fn origin(&self) -> u64 {
+        self.core.borrow().origin()
+    }
+
+    /// Who is there; see [`Others`].
+    pub fn others(&self) -> Others {
+        self.with(|core, now| core.others(now))
+    }
+}
--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -6,6 +6,7 @@
 use crate::agent::Agent;
 use crate::catalogue::Catalogue;
 use crate::datagrams::Datagrams;
+use crate::dumps::{BINDINGS, follow};
 use crate::experiment::{Carried, Experiment, FaultKind, Variant, Version};
 use crate::fleetpages::Truth;
 use crate::fronts::Fronts;
@@ -134,6 +135,10 @@
                     let truth = Truth { plan, clock: clock.clone(), servers: Arc::clone(&servers), platform };
                     tasks.spawn(truth.tell(sidecar, listener));
                 }
+                if whole.contains(METRICS) && whole.contains(BINDINGS) {
+                    let both = (clock.clone(), record.clone());
+                    tasks.spawn(follow(sidecar, metrics, Arc::clone(plan), both.0, both.1));
+                }
                 if whole.contains(METRICS) {
                     tasks.spawn(observe(sidecar, metrics, clock.clone(), record.clone()));
                 }
@@ -185,7 +190,11 @@
         }
         _ => None,
     };
+    let binds = variant.config.contains(METRICS) && variant.config.contains(BINDINGS);
     Ok(Stage {
+        plan: Arc::clone(plan),
+        binds: binds.then_some(pages),
+        asking: Mutex::default(),
         stewards,
         clock,
         record,
--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -26,6 +26,7 @@
             class: a.class,
             tenant: None,
             key: Some(a.key),
+            bound: Vec::new(),
             due: EPOCH + until as Micros,
             work: None,
             repeat: attempt > 0,
--- a/src/bin/tinflow/fleet.rs
+++ b/src/bin/tinflow/fleet.rs
@@ -1,6 +1,7 @@
 //! Hosts this sidecar's membership in its fleet: the list and what was seen go in, words come out. Changes with how the
 //! sidecar and the fleet's member talk to each other.
 
+use crate::bindings::{Bound, Host};
 use crate::clock::Clock;
 use crate::messages::{Input, Inputs};
 use crate::report::say;
@@ -24,6 +25,7 @@
     member: udp::Fleet,
     list: Rc<RefCell<BTreeMap<EndpointId, (Listed, String)>>>,
     sharing: Sharing,
+    bindings: Option<Host>,
 }
 
 impl Fleet {
@@ -46,7 +48,25 @@
         spawn_local(member.clone().run());
         let ahead = if section.affinity.enabled { section.affinity.ahead } else { 0.0 };
         let sharing = Sharing { words: section.verdicts.enabled, ahead };
-        Ok(Self { member, list: Rc::default(), sharing })
+        let bindings = section.bindings.enabled.then(|| Host::start(section, &member, clock));
+        Ok(Self { member, list: Rc::default(), sharing, bindings })
+    }
+
+    /// The bindings, where they are hosted.
+    pub fn bindings(&self) -> Option<&Host> {
+        self.bindings.as_ref()
+    }
+
+    /// Where a key is bound, if it is and that may be used.
+    pub fn bound(&self, key: Option<u64>) -> Option<Bound> {
+        self.bindings.as_ref()?.pick(key?)
+    }
+
+    /// A request was served there; it may be about a key.
+    pub fn used(&self, key: Option<u64>, endpoint: EndpointId) {
+        if let Some((host, key)) = self.bindings.as_ref().zip(key) {
+            host.used(key, endpoint);
+        }
     }
 
     /// What the module is to share.
@@ -86,6 +106,9 @@
             let zone = l.zone.map_or("", &zone).to_owned();
             list.insert(endpoint, (Listed { endpoint, name, started, ready }, zone));
         }
+        if let Some(bindings) = &self.bindings {
+            bindings.listed(list.values().map(|(listed, _)| listed));
+        }
         self.member.placed(list.iter().map(|(endpoint, (_, zone))| (*endpoint, zone.as_str())));
         self.member.listed(list.values().map(|(listed, _)| listed.clone()).collect());
     }
--- a/src/bin/tinflow/open.rs
+++ b/src/bin/tinflow/open.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::messages::{Answer, Ended, Outgoing};
-use crate::product::Observer;
+use crate::product::{Bound, Fleet, Observer};
 use linenproxy::{AttemptEnd, AttemptNo, ClassId, Event, Load, Micros, NewRequest, Outcome, RequestId};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -16,6 +16,9 @@
     attempts: AttemptNo,
     class: ClassId,
     arrived: Micros,
+    key: Option<u64>,
+    /// Where its key was bound; while it is held, the request is under way there.
+    _bound: Option<Bound>,
 }
 
 /// An attempt that is out; the module is owed one event on its end.
@@ -31,12 +34,13 @@
     out: HashMap<(RequestId, AttemptNo), Out>,
     clock: Clock,
     observer: Observer,
+    fleet: Option<Fleet>,
 }
 
 impl Open {
     /// Nothing yet.
-    pub fn new(clock: Clock, observer: Observer) -> Self {
-        Self { held: HashMap::new(), out: HashMap::new(), clock, observer }
+    pub fn new(clock: Clock, observer: Observer, fleet: Option<Fleet>) -> Self {
+        Self { held: HashMap::new(), out: HashMap::new(), clock, observer, fleet }
     }
 
     /// Requests without their answer, and attempts that are out.
@@ -45,11 +49,14 @@
         (self.held.len(), self.out.len())
     }
 
-    /// A request was taken.
-    pub fn take(&mut self, request: &NewRequest, outgoing: Rc<Outgoing>, reply: oneshot::Sender<Answer>) {
+    /// A request was taken; it is told where its key is bound.
+    pub fn take(&mut self, request: &mut NewRequest, outgoing: Rc<Outgoing>, reply: oneshot::Sender<Answer>) {
         self.observer.taken(request.class, &outgoing);
-        let (class, arrived) = (request.class, self.clock.now());
-        self.held.insert(request.id, Held { reply, outgoing, attempts: 0, class, arrived });
+        let bound = self.fleet.as_ref().and_then(|fleet| fleet.bound(request.key));
+        request.bound = bound.as_ref().map(|bound| bound.endpoints.clone()).unwrap_or_default();
+        let (class, arrived, key) = (request.class, self.clock.now(), request.key);
+        let held = Held { reply, outgoing, attempts: 0, class, arrived, key, _bound: bound };
+        self.held.insert(request.id, held);
     }
 
     /// The client of a request has left; whether it was still without its answer, as the two may cross.
@@ -92,6 +99,9 @@
         let out = self.out.remove(&key)?;
         self.note(key, &out, ended.outcome);
         if let Some(served) = ended.served {
+            if let Some((fleet, held)) = self.fleet.as_ref().zip(self.held.get(&ended.request)) {
+                fleet.used(held.key, out.endpoint);
+            }
             self.answer(ended.request, Answer::Served(served));
         }
         Some(self.end(key, &out, ended.outcome, ended.load))
--- a/src/bin/tinflow/product.rs
+++ b/src/bin/tinflow/product.rs
@@ -1,18 +1,21 @@
 //! The product parts of the sidecar: its command line, its product configuration, and what they switch on. Changes
 //! with what can be configured. Without a product configuration nothing is hosted and nothing is counted.
 
+pub use crate::bindings::Bound;
 use crate::clock::Clock;
 use crate::config::Config;
 pub use crate::fleet::Fleet;
 use crate::messages::Inputs;
 pub use crate::observer::Observer;
+use crate::pages::Pages;
 use crate::report::say;
 pub use crate::state::State;
 use clap::Parser;
 use linenproxy_common::cli::{self, Exit};
 use linenproxy_common::config::{self, Configuration, Contradiction};
 use linenproxy_common::logging::{self, Log, LogSection};
-use linenproxy_common::metering::{self, Bounds, Figures, MetricsSection, Page};
+use linenproxy_common::metering::{Figures, MetricsSection};
+use linenproxy_common::pages::{self, Bounds};
 use linenproxy_fleet::section::FleetSection;
 use linenproxy_recovery::StateSection;
 use serde::{Deserialize, Serialize};
@@ -163,34 +166,14 @@
             say!(info, "tinflow", "metrics are read at {at}");
         }
         spawn_local(Rc::clone(&figures).upkeep());
-        let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&self.log));
-        let (fleet, state) = (fleet.cloned(), state.cloned());
-        let pages = move |path: String| {
-            let (observer, inputs, log) = (observer.clone(), inputs.clone(), Rc::clone(&log));
-            let (fleet, state) = (fleet.clone(), state.clone());
-            async move {
-                let shown = match path.as_str() {
-                    "/fleet" => Some(serde_json::to_string_pretty(&fleet.as_ref()?.census())),
-                    "/fleet/servers" => Some(serde_json::to_string(&fleet.as_ref()?.servers())),
-                    _ => None,
-                };
-                if let Some(text) = shown {
-                    return Some(Page { media: "application/json", text: text.ok()? + "\n" });
-                }
-                if path != "/metrics" {
-                    return None;
-                }
-                if let Some(fleet) = &fleet {
-                    observer.fleet(&fleet.census());
-                }
-                if let (Some(state), Some(figures)) = (&state, observer.figures()) {
-                    state.count(&figures);
-                }
-                let survey = inputs.survey().await?;
-                observer.page(&survey, log.dropped()).map(Page::metrics)
-            }
+        let pages = Pages {
+            observer: observer.clone(),
+            inputs: inputs.clone(),
+            log: Rc::clone(&self.log),
+            fleet: fleet.cloned(),
+            state: state.cloned(),
         };
-        spawn_local(metering::serve(listener, self.bounds.clone(), pages));
+        spawn_local(pages::serve(listener, self.bounds.clone(), move |ask| pages.clone().page(ask)));
         Ok(())
     }
 
--- a/src/bin/tinflow/serving.rs
+++ b/src/bin/tinflow/serving.rs
@@ -87,6 +87,7 @@
         class: facts.class,
         tenant: facts.tenant,
         key: facts.key,
+        bound: Vec::new(),
         due,
         work: facts.work,
         repeat: facts.repeat,
