--- a/crates/bindings/src/member.rs
+++ b/crates/bindings/src/member.rs
@@ -1,16 +1,18 @@
 //! A member's bindings as one state machine without I/O and clock. Changes with what the host tells it and asks of it.
 
 use crate::Micros;
+use crate::contact::Contact;
 use crate::guards::Guards;
 use crate::hearing::Hearing;
 use crate::phase::{NotBegun, Phase, Phases};
 use crate::report::{Census, Clear};
+use crate::rumour::Rumours;
 use crate::table::{Rank, Table};
 use crate::telling::{Rates, Telling};
 use crate::time::{Slot, Times};
-use crate::word::{Process, Word};
+use crate::word::{MOST_PLACES, Process, Word};
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Pulses in which a member that starts asks for all bindings, until it is answered.
 const ASKS: u32 = 8;
@@ -22,8 +24,12 @@
     pub(crate) member: u64,
     pub(crate) table: Table,
     pub(crate) telling: Telling,
+    pub(crate) rumours: Rumours,
     pub(crate) phases: Phases,
+    pub(crate) contact: Contact,
     pub(crate) hearing: Hearing,
+    /// Processes that the own list has named and that take nothing any more: nothing is bound there.
+    pub(crate) closed: HashSet<Process>,
     /// Requests under way that may go by a binding, by process.
     pub(crate) under_way: HashMap<Process, u32>,
     /// Members that asked for all bindings, and how far their answers have come.
@@ -39,13 +45,16 @@
 }
 
 impl Bindings {
-    /// Those of a member by that number, one for each life of it, that begins now. One that `founds` the fleet asks nobody.
+    /// Those of a member by that number, the same in all its lives, that begins now. One that `founds` the fleet asks nobody.
     pub fn new(now: Micros, times: Times, keys: usize, rates: Rates, member: u64, founds: bool) -> Self {
         Self {
             table: Table::new(keys, member),
             telling: Telling::new(rates, member),
+            rumours: Rumours::default(),
             phases: Phases::default(),
+            contact: Contact::new(member),
             hearing: Hearing::new(times.silence, founds),
+            closed: HashSet::new(),
             under_way: HashMap::new(),
             asked: VecDeque::new(),
             begun: now + times.skew,
@@ -60,31 +69,27 @@
         }
     }
 
-    /// This member is in contact with the others at that instant of its monotonic clock.
-    pub fn contact(&mut self, mono: Micros) {
-        self.hearing.contact(mono);
+    /// Those are all members, this one too: who runs, and who may still run without being heard.
+    pub fn roster(&mut self, members: &[u64]) {
+        self.contact.roster(members.iter().copied());
+        self.telling.set_members(members.len());
     }
 
-    /// It knows that it is not.
+    /// It knows that it is out of contact.
     pub fn parted(&mut self) {
         self.hearing.parted();
     }
 
-    /// Where a key is bound, of the processes that may be used. None where this member may not hear the others.
-    pub fn pick(
-        &self,
-        now: Micros,
-        mono: Micros,
-        key: u64,
-        may: impl Fn(Process) -> bool,
-    ) -> Option<Process> {
+    /// Where a key is bound, of the processes that may be used, the best first. None where this member may not hear the
+    /// others.
+    pub fn picks(&self, now: Micros, mono: Micros, key: u64, may: impl Fn(Process) -> bool) -> Vec<Process> {
         let hears = self.hearing.hears(mono) || !self.guards.falls_silent;
         let slot = self.times.slot(now);
         let alive = |process: Process, word: Word| {
             let moves = self.phases.moves(key, process, word.era, &self.times);
             slot < word.ends && moves.is_none_or(|moves| slot < moves) && may(process)
         };
-        if hears && self.phases.whole() { self.table.bound(key, alive) } else { None }
+        if hears && self.phases.whole() { self.table.bound(key, alive) } else { Vec::new() }
     }
 
     /// A request that was given a binding to that process begins, or ends for good.
@@ -98,10 +103,24 @@
 
     /// This member used a key at a process.
     pub fn used(&mut self, now: Micros, key: u64, process: Process) {
-        if !self.phases.ended(process, self.phases.era(process)) {
-            let bound = self.table.at(key, process).is_some();
-            self.telling.used(key, process, self.times.slot(now), bound);
+        if self.closed.contains(&process) {
+            return;
+        }
+        let (slot, era) = (self.times.slot(now), self.phases.era(process));
+        let at = self.table.at(key, process).is_some();
+        // Who finds so many places has one to go to: a further one would cost words at each use.
+        let places = || self.table.words(key).filter(|(_, word)| slot < word.ends).count();
+        if !self.phases.ended(process, era) && (at || places() < MOST_PLACES) {
+            self.telling.used(key, process, slot, at);
+        }
+    }
+
+    /// The own list says that those take nothing any more: what was bound there is dropped here, and nothing is taken in.
+    pub fn closes(&mut self, closed: HashSet<Process>) {
+        if closed.iter().any(|process| !self.closed.contains(process)) {
+            self.table.retain(|_, process, _| !closed.contains(&process));
         }
+        self.closed = closed;
     }
 
     /// That process leaves: its epoch ends.
@@ -124,16 +143,30 @@
         self.phases.merge(process, Phase { epoch, leaves: false, since: Reverse(self.times.slot(now)) })
     }
 
-    /// How far it is clear, where `roster` are all members that are heard from. It is once all of them, this one too, are
-    /// clear of it and whoever is not heard has fallen silent by its own clock.
-    pub fn clear(&mut self, mono: Micros, process: Process, epoch: u64, roster: &[u64]) -> Clear {
-        let known = self.phases.iter().any(|(p, phase)| p == process && phase.epoch == epoch && phase.leaves);
+    /// How far it is clear, where `running` are all members that are known to run. It is once all of them, this one and all
+    /// beacons that were heard of are clear of it and whoever is not heard has fallen silent by its own clock.
+    pub fn clear(
+        &mut self,
+        now: Micros,
+        mono: Micros,
+        process: Process,
+        epoch: u64,
+        running: &[u64],
+    ) -> Clear {
+        let phase =
+            self.phases.iter().find(|(p, phase)| *p == process && phase.epoch == epoch && phase.leaves);
+        let known = phase.is_some();
+        // Whoever knows that it leaves uses no binding from then on.
+        let moved = phase.is_some_and(|(_, phase)| now >= self.times.moved(phase.since.0));
+        let moved = moved || !self.guards.waits_for_silence;
         let reported = self.phases.reported(process).filter(|_| known);
         let (mine, reported) = (reported.clone().any(|m| m == self.member), reported.count());
         let hears = self.hearing.hears(mono) || !self.guards.falls_silent;
-        let all = if hears && mine { self.phases.complete(process, epoch, mono, roster) } else { None };
+        let mut roster = running.to_vec();
+        roster.extend(self.contact.beacons(now - self.times.silence));
+        let all = if hears && mine { self.phases.complete(process, epoch, mono, &roster) } else { None };
         let waits = if self.guards.waits_for_silence { self.times.clear_after() } else { 0 };
-        Clear { clear: all.is_some_and(|since| mono - since >= waits), known, mine, reported }
+        Clear { clear: moved && all.is_some_and(|since| mono - since >= waits), known, mine, reported }
     }
 
     /// Forgets processes that left and are listed no more.
@@ -141,6 +174,16 @@
         self.phases.forget(self.times.slot(now), &self.times, listed);
     }
 
+    /// The slot of an instant.
+    pub fn slot_of(&self, now: Micros) -> Slot {
+        self.times.slot(now)
+    }
+
+    /// Processes that leave or have come back, and how many members are clear of each.
+    pub fn phases(&self) -> impl Iterator<Item = (Process, Phase, usize)> {
+        self.phases.iter().map(|(process, phase)| (process, phase, self.phases.reported(process).count()))
+    }
+
     /// All bindings, for whoever audits them: key, process, word.
     pub fn dump(&self) -> impl Iterator<Item = (u64, Process, Word)> {
         let words = |key| self.table.words(key).map(move |(process, word)| (key, process, word));
@@ -153,6 +196,8 @@
             keys: self.table.len(),
             phases: self.phases.iter().count(),
             waiting: self.telling.waiting(),
+            rumours: self.rumours.count(),
+            made_room: self.rumours.dropped,
             hears: self.hearing.hears(mono),
             dropped: self.table.dropped,
             untold: self.telling.dropped + self.census.untold,
--- a/crates/bindings/src/phase.rs
+++ b/crates/bindings/src/phase.rs
@@ -92,17 +92,15 @@
     }
 
     /// From that slot on a key bound at that process in that epoch binds elsewhere; none where the process stays. Keys
-    /// are parted evenly over the time, the same at every member: few move at a time.
+    /// are parted evenly over the time, the same at every member: few move at a time. Those of epochs before, too, as an epoch
+    /// may be skipped.
     pub fn moves(&self, key: u64, process: Process, era: u64, times: &Times) -> Option<Slot> {
         let phase = self.known.get(&process)?.phase;
-        match (era == phase.epoch && phase.leaves, self.ended(process, era)) {
-            (true, _) => {
-                let place = mix(key, process.name).rem_euclid(times.moving.unsigned_abs());
-                Some(phase.since.0.saturating_add(place.cast_signed()))
-            }
-            (false, true) => Some(Slot::MIN),
-            (false, false) => None,
+        if era > phase.epoch || era == phase.epoch && !phase.leaves {
+            return None;
         }
+        let place = mix(key, process.name).rem_euclid(times.moving.unsigned_abs());
+        Some(if phase.leaves { phase.since.0.saturating_add(place.cast_signed()) } else { Slot::MIN })
     }
 
     /// All that are known.
@@ -135,10 +133,16 @@
         state.complete
     }
 
-    /// Forgets processes that are not listed any more, once no word on them can be alive anywhere.
+    /// Whether what another tells of it is to be taken in: what all may have forgotten by now is not learnt anew.
+    pub fn takes(&self, process: Process, phase: Phase, slot: Slot, times: &Times) -> bool {
+        slot < phase.since.0.saturating_add(times.remembered()) || self.known.contains_key(&process)
+    }
+
+    /// Forgets processes that have come back, or are not listed any more, once no word of before can be alive anywhere.
     pub fn forget(&mut self, slot: Slot, times: &Times, listed: impl Fn(Process) -> bool) {
         let long = times.remembered();
-        self.known.retain(|process, s| slot < s.phase.since.0.saturating_add(long) || listed(*process));
+        let recent = |phase: &Phase| slot < phase.since.0.saturating_add(long);
+        self.known.retain(|process, s| recent(&s.phase) || s.phase.leaves && listed(*process));
         self.overflowed &= self.known.len() >= MOST_PHASES;
     }
 }
@@ -174,6 +178,8 @@
             *by_slot.entry(phases.moves(key, P, 0, &times).expect("it leaves")).or_insert(0) += 1;
         }
         assert_eq!(by_slot.keys().next_back(), Some(&(99 + times.moving)));
+        phases.merge(P, leaves(17, 100)).expect("it is known");
+        assert!(phases.moves(1, P, 0, &times).is_some_and(|slot| slot >= 100), "of an epoch before");
         let even = 4096 / times.moving;
         assert!(by_slot.values().all(|n| *n < even * 3 / 2), "{by_slot:?}");
     }
@@ -195,7 +201,15 @@
         assert!(phases.whole());
         assert_eq!(phases.merge(Process { name: 99, started: 0 }, leaves(0, 0)), Err(NotBegun::TooMany));
         assert!(!phases.whole());
-        phases.forget(1 << 40, &BindingsSection::default().times(), |_| false);
+        let times = BindingsSection::default().times();
+        phases.forget(1 << 40, &times, |p| p == P);
+        assert_eq!(phases.iter().map(|(p, _)| p).collect::<Vec<_>>(), [P]);
+        let late = times.remembered();
+        assert!(phases.takes(P, leaves(3, 0), late, &times));
+        phases.forget(1 << 40, &times, |_| false);
+        assert!(
+            !phases.takes(P, leaves(3, 0), late, &times) && phases.takes(P, leaves(3, 0), late - 1, &times)
+        );
         assert!(phases.whole() && phases.iter().next().is_none());
     }
 }
--- a/crates/bindings/src/piece.rs
+++ b/crates/bindings/src/piece.rs
@@ -3,14 +3,15 @@
 //! A byte for the version of the form, then a [`Piece`] by postcard.
 
 use crate::Micros;
+use crate::contact::Told as Met;
 use crate::phase::Phase;
 use crate::time::Slot;
 use crate::word::{Process, Word};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 
-/// Longest piece in bytes, so that two fit into a datagram with what else is said.
-pub const LONGEST: usize = 512;
+/// Longest piece in bytes: what is left of a datagram of 1,200 beside heads and some evidence.
+pub const LONGEST: usize = 1024;
 const VERSION: u8 = 1;
 /// Longest slots back from a piece's own that a word may lie: a day of slots of a millisecond.
 const FARTHEST: u64 = 86_400_000;
@@ -40,14 +41,16 @@
 pub struct Piece {
     /// When it was written, by the sender's clock.
     pub stamp: Micros,
-    /// It is a sign of contact: the sender knows who has left.
-    pub sound: bool,
     /// The sender asks for all bindings.
     pub asks: bool,
     /// The last one of an answer.
     pub ends: bool,
+    /// Its words are news, to be passed on.
+    pub news: bool,
     /// Entries up to that rank were dropped somewhere: they are everywhere.
     pub floor: Option<(Slot, u64)>,
+    /// Whom the sender has heard.
+    pub heard: Vec<Met>,
     base: Slot,
     phases: Vec<Told>,
     reports: Vec<Report>,
@@ -83,6 +86,31 @@
         }
     }
 
+    /// Adds words that end no later than that, as many as fit; gives those that did.
+    pub fn news(
+        &mut self,
+        base: Slot,
+        words: impl Iterator<Item = (u64, Process, Word)>,
+    ) -> Vec<(u64, Process)> {
+        (self.news, self.base) = (true, base);
+        let (mut length, mut taken) = (self.bytes().len() + 4, Vec::new());
+        for (key, of, word) in words {
+            let back = base.saturating_sub(word.ends).max(0).cast_unsigned();
+            let at = self.groups.iter().position(|(n, era, _)| *n == name(of) && *era == word.era);
+            length += 8 + varint(back * 2 + 1) + if at.is_some() { 0 } else { 8 + 10 + varint(word.era) + 2 };
+            if length > LONGEST {
+                break;
+            }
+            let at = at.unwrap_or_else(|| {
+                self.groups.push((name(of), word.era, Vec::new()));
+                self.groups.len() - 1
+            });
+            self.groups[at].2.push((key.to_le_bytes(), back * 2 + u64::from(word.held)));
+            taken.push((key, of));
+        }
+        taken
+    }
+
     /// Pieces with these words, as few as hold them.
     pub fn words(stamp: Micros, mut words: Vec<(u64, Process, Word)>) -> Vec<Self> {
         words.sort_by_key(|(key, process, word)| (*process, word.era, *key));
@@ -167,53 +195,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    proptest! {
-        #[test]
-        fn words_come_out_as_they_went_in_and_pieces_are_bounded(
-            words in prop::collection::vec((any::<u64>(), any::<u64>(), 0..4u64, 0..5000i64, any::<bool>()), 0..200),
-        ) {
-            let word = |(key, n, era, last, held): &(u64, u64, u64, i64, bool)| {
-                let started = 1_900_000_000_000;
-                (*key, Process { name: *n % 7, started }, Word { era: *era, ends: 4_000_000_000 + last, held: *held })
-            };
-            let mut words: Vec<_> = words.iter().map(word).collect();
-            let mut out = Vec::new();
-            for piece in Piece::words(1_900_000_000_000_000, words.clone()) {
-                let bytes = piece.bytes();
-                prop_assert!(bytes.len() <= LONGEST, "{}", bytes.len());
-                let read = Piece::read(&bytes);
-                prop_assert!(read.is_ok());
-                out.extend(read.iter().flat_map(|p| p.each_word().collect::<Vec<_>>()));
-            }
-            words.sort();
-            out.sort();
-            prop_assert_eq!(words, out);
-        }
-
-        #[test]
-        fn nothing_that_comes_breaks_it(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
-            let with = |version: u8| [&[version][..], &bytes].concat();
-            for bytes in [bytes.clone(), with(VERSION)] {
-                if let Ok(piece) = Piece::read(&bytes) {
-                    prop_assert!(piece.each_word().count() + piece.phases().count() + piece.reports().count() <= 600);
-                }
-            }
-        }
-    }
-
-    #[test]
-    fn a_full_pulse_fits() {
-        let mut piece = Piece { floor: Some((4_000_000_000, u64::MAX)), ..Piece::at(i64::MAX) };
-        for i in 0..crate::phase::MOST_PHASES as u64 {
-            let phase = Phase { epoch: 1000, leaves: true, since: Reverse(4_000_000_000) };
-            piece.phase(Process { name: i, started: 1_900_000_000_000 }, phase);
-        }
-        piece.report(Process { name: 1, started: 1_900_000_000_000 }, 1000, 0..1000);
-        assert!(piece.bytes().len() <= LONGEST && piece.reports().count() >= 10, "{}", piece.bytes().len());
-        assert_eq!(Piece::read(&[9, 9]), Err(Refused::Version));
-    }
-}
+mod tests;
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -11,7 +11,8 @@
 use crate::peers::{self, Peers};
 use crate::{joining, serve};
 use linenproxy_common::cli::Exit;
-use linenproxy_common::metering::{self, Bounds, Figures};
+use linenproxy_common::metering::Figures;
+use linenproxy_common::pages::{self, Ask, Bounds};
 use linenproxy_steward::core::Input;
 use std::rc::Rc;
 use std::time::Duration;
@@ -63,11 +64,11 @@
         spawn_local(Rc::clone(&figures).upkeep());
         let (calls, looks, seen) = (calls.clone(), Rc::clone(&looks), seen.clone());
         let sources = Sources { figures, seen, calls, peers: peers.clone(), looks };
-        let page = move |path: String| {
+        let page = move |ask: Ask| {
             let sources = sources.clone();
-            async move { (path == "/metrics").then(|| sources.page()) }
+            async move { (ask.path == "/metrics" && ask.posted.is_none()).then(|| sources.page()) }
         };
-        spawn_local(metering::serve(metrics, Bounds::of(&sections.metrics), page));
+        spawn_local(pages::serve(metrics, Bounds::of(&sections.metrics), page));
     }
     let answer = move |asked, steward| pages.clone().answer(asked, steward);
     spawn_local(serve::serve(listener, own.connections, own.timeout.0, peers::LONGEST, answer));
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -78,7 +78,7 @@
             clock,
             inputs,
             sender: sender.clone(),
-            open: Open::new(clock, observer.clone()),
+            open: Open::new(clock, observer.clone(), fleet.clone()),
             listed: Listed::new(decoded.zones, Rc::clone(&pool), fleet.clone(), state),
             upstream: Rc::new(Upstream::new(Rc::clone(&pool))),
             pool: Rc::clone(&pool),
@@ -96,7 +96,7 @@
         if pushed {
             let _ = engine.asks.send(Ask::Watch);
         }
-        spawn_local(discovery::run(discovery_at, known, config.seed, asked, sender.clone()));
+        spawn_local(discovery::run(discovery_at, known, pushed, config.seed, asked, sender.clone()));
         if let Some(peers) = peers {
             spawn_local(peers.pass_on(sender.clone()));
         }
@@ -132,8 +132,8 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Request(request, outgoing, reply) => {
-                self.open.take(&request, outgoing, reply);
+            Input::Request(mut request, outgoing, reply) => {
+                self.open.take(&mut request, outgoing, reply);
                 self.deliver(Event::Request(request));
             }
             Input::Withdrawn(id) => {
--- a/tests/hearsay.rs
+++ b/tests/hearsay.rs
@@ -10,7 +10,7 @@
 fn about(rig: &mut Rig, class: ClassId, key: Option<u64>) -> (RequestId, Vec<Action>) {
     let (id, due) = (rig.next, rig.now + 3 * SECOND);
     rig.next += 1;
-    let new = NewRequest { id, class, tenant: None, key, due, work: None, repeat: false };
+    let new = NewRequest { id, class, tenant: None, key, bound: Vec::new(), due, work: None, repeat: false };
     (id, rig.event(Event::Request(new)))
 }
 
