--- a/tests/stubs/message.rs
+++ b/tests/stubs/message.rs
@@ -79,6 +79,7 @@
         match stream.read(&mut rest) {
             Ok(0) => return true,
             Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) => return !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
         }
     }
