Test orders of events around the list with an agent driven by hand

Need: of calls for the list that cross a move, a reset, an end or another answer no test forced the order. The new stub hands each call to the test, which answers it whole, in pieces or byte for byte, closes or resets it, or leaves it silent.

--- a/tests/sidecar/lists.rs
+++ b/tests/sidecar/lists.rs
@@ -47,6 +47,16 @@
 // must not be written any more.
 #[test]
 fn a_dial_under_way_to_an_endpoint_that_leaves_writes_nothing() {
+    let other: std::net::SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    for (snapshot, gone) in [(false, "s-1"), (true, "s-2")] {
+        dial_under_way(|address| {
+            list(3, snapshot, &[(gone, if snapshot { other } else { address }, "leaving")])
+        });
+    }
+}
+
+/// A dial hangs while the endpoint goes by this news of its address.
+fn dial_under_way(gone: impl Fn(std::net::SocketAddr) -> String) {
     let discovery = Discovery::start();
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
@@ -64,7 +74,7 @@
     let mut client = sidecar.connect();
     client.write_all(request("book", "", "{}").as_bytes()).expect("the sidecar takes it");
     await_that("the endpoint is dialled", || being_dialled(address));
-    discovery.publish(3, list(3, false, &[("s-1", address, "leaving")]));
+    discovery.publish(3, gone(address));
     discovery.await_watch(3);
     drop(filler);
     let endpoint = Endpoint::on(listener, |_| ok("too late"));
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,10 +4,13 @@
 mod stubs;
 
 mod connections;
+mod list_forms;
 mod lists;
+mod moves;
 mod requests;
 mod starting;
 mod stopping;
+mod watches;
 
 use stubs::*;
 
--- /dev/null
+++ b/tests/sidecar/moves.rs
@@ -0,0 +1,118 @@
+//! SIGHUP moves discovery while something is under way at the old address.
+
+use crate::ok;
+use crate::stubs::*;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// Has the sidecar follow discovery at another address.
+fn move_to(sidecar: &Sidecar, address: SocketAddr) {
+    sidecar.reconfigure(|config| {
+        let mut config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+        config["discovery"] = address.to_string().into();
+        config.to_string()
+    });
+}
+
+fn only(index: u64, name: &str, endpoint: &Endpoint) -> String {
+    list(index, true, &[(name, endpoint.address, "active")])
+}
+
+fn old_and_new() -> (Endpoint, Endpoint) {
+    (Endpoint::start(|_| ok("old")), Endpoint::start(|_| ok("new")))
+}
+
+/// The next call at an agent asks for the whole list and is answered; returns the watch that follows.
+fn follow(agent: &Agent, index: u64, body: &str) -> Call {
+    let mut call = agent.call();
+    assert_eq!(call.after(), None, "{}", call.start);
+    for _ in 0..5 {
+        call.answer(body);
+        call = agent.call();
+        if call.after() == Some(index) {
+            return call;
+        }
+    }
+    panic!("never followed");
+}
+
+#[test]
+fn what_the_old_agent_says_after_a_move_changes_nothing() {
+    let (before, after) = (Agent::start(), Agent::start());
+    let (old, new) = old_and_new();
+    let sidecar = before.sidecar("pushed", &[("s-old", &old)]);
+    let late = before.call();
+    move_to(&sidecar, after.address);
+    let whole = after.call();
+    assert_eq!(whole.after(), None);
+    let mut stream = late.stream.try_clone().expect("a socket can be cloned");
+    late.answer(&only(99, "s-old", &old));
+    assert!(await_close(&mut stream), "the old watch is closed");
+    whole.answer(&only(5, "s-new", &new));
+    let watch = after.call();
+    assert_eq!(watch.after(), Some(5), "versions of the old agent count no more");
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
+    assert_eq!(old.requests(), 0);
+}
+
+// The process is stopped while both come, so that it finds them in the same turn.
+#[test]
+fn an_answer_that_comes_with_the_signal_leaves_no_version_behind() {
+    for _ in 0..5 {
+        let (before, after) = (Agent::start(), Agent::start());
+        let (old, new) = old_and_new();
+        let sidecar = before.sidecar("pushed", &[("s-old", &old)]);
+        let watch = before.call();
+        sidecar.signal("-STOP");
+        watch.answer(&only(99, "s-old", &old));
+        move_to(&sidecar, after.address);
+        sidecar.signal("-CONT");
+        let _watch = follow(&after, 5, &only(5, "s-new", &new));
+        assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
+        assert_eq!(old.requests(), 0);
+    }
+}
+
+#[test]
+fn moves_in_a_row_over_an_address_that_never_answers_and_back_are_followed() {
+    let (first, last) = (Agent::start(), Agent::start());
+    let (old, new) = old_and_new();
+    // With its queue full the system drops further openings.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("a free port");
+    let listener = TcpListener::from(socket);
+    let hanging = listener.local_addr().expect("an address");
+    let _filler = TcpStream::connect(hanging).expect("one fits");
+    assert!(
+        TcpStream::connect_timeout(&hanging, Duration::from_millis(300)).is_err(),
+        "the queue takes more"
+    );
+
+    let sidecar = first.sidecar("pushed", &[("s-old", &old)]);
+    let _held = first.call();
+    move_to(&sidecar, hanging);
+    await_that("the new address is dialled", || being_dialled(hanging));
+    move_to(&sidecar, last.address);
+    let _watch = follow(&last, 5, &only(5, "s-new", &new));
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
+    // And back: its versions may have gone on.
+    move_to(&sidecar, first.address);
+    let _watch = follow(&first, 2, &only(2, "s-old", &old));
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"old");
+}
+
+// A process that knows no list asks for the whole one; what it asks in vain is asked three times within a second each.
+#[test]
+fn the_first_list_of_a_new_process_comes_though_two_calls_are_lost() {
+    let agent = Agent::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = agent.sidecar_altered(&[], |config| {
+        let mut config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+        config["known"] = serde_json::Value::Null;
+        config.to_string()
+    });
+    let _lost = (agent.call(), agent.call());
+    let _watch = follow(&agent, 5, &only(5, "s-1", &endpoint));
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"served");
+}
--- /dev/null
+++ b/tests/sidecar/watches.rs
@@ -0,0 +1,77 @@
+//! Calls to discovery that cross each other, fail or end in place of telling.
+
+use crate::ok;
+use crate::stubs::*;
+use std::time::{Duration, Instant};
+
+/// Where `s-new` has taken the place of `s-old`, as a change or as the whole list.
+pub fn replaced(index: u64, snapshot: bool, old: &Endpoint, new: &Endpoint) -> String {
+    let both = [("s-old", old.address, "leaving"), ("s-new", new.address, "active")];
+    list(index, snapshot, &both[usize::from(snapshot)..])
+}
+
+pub fn old_and_new() -> (Endpoint, Endpoint) {
+    (Endpoint::start(|_| ok("old")), Endpoint::start(|_| ok("new")))
+}
+
+/// Answers calls in this way until one asks for news after that version, which is given back.
+pub fn tell(agent: &Agent, version: u64, answer: impl Fn(Call)) -> Call {
+    let until = Instant::now() + LONG;
+    while Instant::now() < until {
+        let call = agent.call();
+        if call.after() == Some(version) {
+            return call;
+        }
+        answer(call);
+    }
+    panic!("version {version} was never taken in");
+}
+
+pub fn body(sidecar: &Sidecar) -> Vec<u8> {
+    sidecar.ask(&request("book", "", "")).expect("an answer").body
+}
+
+#[test]
+fn watches_that_end_or_are_reset_in_place_of_telling_miss_no_change() {
+    for reset in [false, true] {
+        let agent = Agent::start();
+        let (old, new) = old_and_new();
+        let sidecar = agent.sidecar("pushed", &[("s-old", &old)]);
+        for _ in 0..6 {
+            let call = agent.call();
+            assert_eq!(call.after(), Some(1));
+            if reset { call.reset() } else { drop(call) }
+        }
+        let _watch = tell(&agent, 2, |call| call.answer(&replaced(2, true, &old, &new)));
+        assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0));
+    }
+}
+
+// Each is asked for 50 ms after the one before at the earliest, as a watch goes on.
+#[test]
+fn watches_that_end_at_once_without_news_make_no_tight_loop() {
+    let agent = Agent::start();
+    let (old, new) = old_and_new();
+    let sidecar = agent.sidecar("pushed", &[("s-old", &old)]);
+    let (until, mut calls) = (Instant::now() + Duration::from_secs(1), 0);
+    while let Some(call) = agent.call_within(until.saturating_duration_since(Instant::now())) {
+        assert_eq!(call.after(), Some(1));
+        call.answer(&list(1, false, &[]));
+        calls += 1;
+    }
+    assert!((1..=25).contains(&calls), "{calls} calls in a second");
+    let _watch = tell(&agent, 2, |call| call.answer(&replaced(2, false, &old, &new)));
+    assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0));
+}
+
+// A whole list counts whatever its version.
+#[test]
+fn a_whole_list_under_a_lower_version_is_followed() {
+    let agent = Agent::start();
+    let (old, new) = old_and_new();
+    let sidecar = agent.sidecar("pushed", &[("s-old", &old)]);
+    let watch = tell(&agent, 41, |call| call.answer(&list(41, true, &[("s-old", old.address, "active")])));
+    watch.answer(&replaced(3, true, &old, &new));
+    let _watch = tell(&agent, 3, |call| call.answer(&replaced(3, true, &old, &new)));
+    assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0));
+}
--- /dev/null
+++ b/tests/stubs/agent.rs
@@ -0,0 +1,133 @@
+//! Discovery's agent driven by hand: each call waits until the test says what becomes of it.
+
+use super::LONG;
+use super::discovery::Discovery;
+use super::endpoint::Endpoint;
+use super::message::{Message, answer, read_message};
+use super::sidecar::Sidecar;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::Mutex;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+/// An agent that hands over its calls in the order in which they came.
+pub struct Agent {
+    pub address: SocketAddr,
+    calls: Mutex<Receiver<Call>>,
+}
+
+/// A call that waits for its answer. Dropped, it closes the connection without one.
+pub struct Call {
+    /// Its request line.
+    pub start: String,
+    pub stream: TcpStream,
+    calls: Sender<Call>,
+}
+
+impl Agent {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, calls) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                read_next(stream, sender.clone());
+            }
+        });
+        Self { address, calls: Mutex::new(calls) }
+    }
+
+    /// The next call.
+    pub fn call(&self) -> Call {
+        self.call_within(LONG).expect("no call came")
+    }
+
+    /// The next call, where one comes in that time.
+    pub fn call_within(&self, time: Duration) -> Option<Call> {
+        self.calls.lock().expect("no stub panics").recv_timeout(time).ok()
+    }
+
+    /// A sidecar that follows it, and that knows these endpoints as version 1 of the list; `mode` is what the settings say
+    /// of how lists come.
+    pub fn sidecar(&self, mode: &str, endpoints: &[(&str, &Endpoint)]) -> Sidecar {
+        self.sidecar_altered(endpoints, |config| config.replace("on_request", mode))
+    }
+
+    /// The same with a configuration that is altered first.
+    pub fn sidecar_altered(
+        &self,
+        endpoints: &[(&str, &Endpoint)],
+        alter: impl Fn(String) -> String,
+    ) -> Sidecar {
+        self.sidecar_adapted(endpoints, alter, |_| {})
+    }
+
+    /// The same with a process that is adapted first.
+    pub fn sidecar_adapted(
+        &self,
+        endpoints: &[(&str, &Endpoint)],
+        alter: impl Fn(String) -> String,
+        adapt: impl FnOnce(&mut Command),
+    ) -> Sidecar {
+        let (nobody, at) = (Discovery::start(), self.address.to_string());
+        let here = |config: String| alter(config.replace(&nobody.address.to_string(), &at));
+        Sidecar::start_adapted(&nobody, endpoints, 1024, here, |command| {
+            adapt(command.env("LB_DISCOVERY", &at));
+        })
+    }
+}
+
+impl Call {
+    /// The version after which news are asked for; `None` where the whole list is.
+    pub fn after(&self) -> Option<u64> {
+        self.field("after")
+    }
+
+    /// How long it may wait for news, in milliseconds.
+    pub fn wait_ms(&self) -> Option<u64> {
+        self.field("wait_ms")
+    }
+
+    fn field(&self, name: &str) -> Option<u64> {
+        let (_, query) = self.start.split_once('?')?;
+        let value = query.split(['&', ' ']).find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
+        value?.parse().ok()
+    }
+
+    /// Answers it, and waits for the next on the same connection.
+    pub fn answer(self, body: &str) {
+        self.answer_as(200, "", body);
+    }
+
+    /// The same with a status and header lines.
+    pub fn answer_as(mut self, status: u16, headers: &str, body: &str) {
+        answer(&mut self.stream, status, headers, body.as_bytes());
+        read_next(self.stream, self.calls);
+    }
+
+    /// Answers it byte for byte as given, and waits for the next on the same connection.
+    pub fn answer_raw(mut self, bytes: &[u8]) {
+        // The sidecar may have given up on it.
+        let _ = self.stream.write_all(bytes);
+        read_next(self.stream, self.calls);
+    }
+
+    /// Resets the connection.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("a socket may be reset");
+    }
+}
+
+/// Hands over the next message on a connection as a call.
+fn read_next(mut stream: TcpStream, calls: Sender<Call>) {
+    thread::spawn(move || {
+        if let Some(Message { start, .. }) = read_message(&mut stream) {
+            // The test may be over.
+            let _ = calls.clone().send(Call { start, stream, calls });
+        }
+    });
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -2,11 +2,13 @@
 
 #![allow(dead_code, unused_imports, reason = "each test binary uses its part")]
 
+mod agent;
 mod discovery;
 mod endpoint;
 mod message;
 mod sidecar;
 
+pub use agent::*;
 pub use discovery::*;
 pub use endpoint::*;
 pub use message::*;
--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -4,7 +4,7 @@
 use super::endpoint::Endpoint;
 use super::message::{Message, read_message};
 use super::{STARTED, await_that, unused_address};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -116,6 +116,15 @@
         self.signal("-TERM");
     }
 
+    /// Ends it and reads what it wrote to its piped standard error.
+    pub fn stop_and_read_log(&mut self) -> String {
+        let mut log = self.process.stderr.take().expect("it is a pipe");
+        self.process.kill().expect("it runs");
+        let mut said = String::new();
+        log.read_to_string(&mut said).expect("text");
+        said
+    }
+
     /// Puts another text in the place of its configuration file and tells it so.
     pub fn reconfigure(&self, alter: impl Fn(String) -> String) {
         let text = std::fs::read_to_string(&self.config).expect("the file is there");
