Ask discovery again within 0.4 s of failed calls, whatever the settings allow

Cause: choice/list.rs, listed: where lists are asked for, the wait after failed calls grew to half of AskWithinUs, 15 s at 30 s; a change counts as told 6 s after discovery had it and could be reached, 4 s after a reload. An AskWithinUs of 0 had no wait at all: a discovery that refused was called in a tight loop. Pushed lists count at once, the wait grew to 0.8 s, 0.3 s are allowed. Change: half of AskWithinUs still, held to 0.2 to 0.4 s; 0.2 s where lists are pushed. The first wait is an eighth at most, by chance from half of it on: 300 processes that are refused together are spread.

--- a/src/choice/list.rs
+++ b/src/choice/list.rs
@@ -4,7 +4,10 @@
 use std::collections::BTreeSet;
 
 /// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
-pub(crate) const PUSH_REGAINED: Micros = 800_000;
+const PUSH_REGAINED: Micros = 200_000;
+/// The same where lists are asked for, whatever the settings allow: a change counts as told 6 s after discovery had it and
+/// could be reached, 4 s after a reload, and a call or two may be lost before that.
+const ASK_REGAINED: Micros = 400_000;
 
 impl Balancer {
     /// Follows the list. Draining, gone and missing endpoints get nothing from now on.
@@ -13,10 +16,11 @@
             ListUpdate::Failed => {
                 self.fleet.ask_failures += 1;
                 // Where changes are pushed, what is missed counts as told, and asking costs nobody anything.
-                let most = match self.set.discovery {
-                    Discovery::OnRequest => self.set.rules.ask_within as f64 / 2.0,
-                    Discovery::Pushed => PUSH_REGAINED as f64,
+                let allowed = match self.set.discovery {
+                    Discovery::OnRequest => self.set.rules.ask_within / 2,
+                    Discovery::Pushed => PUSH_REGAINED,
                 };
+                let most = allowed.clamp(PUSH_REGAINED, ASK_REGAINED) as f64;
                 let grown = (most / 16.0 * f64::from(1u32 << self.fleet.ask_failures.min(8))).min(most);
                 let delay = grown * (0.5 + 0.5 * self.rng.f64());
                 return self.timers.at(later(now, delay), Wake::Discover);
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -5,6 +5,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+/// After the signal what discovery has to tell counts as told in this time.
+const TOLD: Duration = Duration::from_secs(4);
+
 /// Has the sidecar follow discovery at another address.
 fn move_to(sidecar: &Sidecar, address: SocketAddr) {
     sidecar.reconfigure(|config| {
@@ -73,6 +76,27 @@
     }
 }
 
+// Failures at the old address must not have the new one wait, nor failures at the new one pass the time.
+#[test]
+fn a_move_while_calls_fail_is_followed_in_time() {
+    let (before, after) = (Agent::start(), Agent::start());
+    let (old, new) = old_and_new();
+    let sidecar = before.sidecar_altered(&[("s-old", &old)], |config| {
+        config.replace("\"AskWithinUs\":2000000", "\"AskWithinUs\":30000000")
+    });
+    for _ in 0..6 {
+        before.call_within(TOLD).expect("the old agent is asked again in time").answer_as(503, "", "");
+    }
+    move_to(&sidecar, after.address);
+    for _ in 0..3 {
+        let call = after.call_within(TOLD).expect("the new agent is asked in time");
+        assert_eq!(call.after(), None);
+        call.answer_as(503, "", "");
+    }
+    let _watch = follow(&after, 5, &only(5, "s-new", &new));
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
+}
+
 #[test]
 fn moves_in_a_row_over_an_address_that_never_answers_and_back_are_followed() {
     let (first, last) = (Agent::start(), Agent::start());
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -4,6 +4,9 @@
 use crate::stubs::*;
 use std::time::{Duration, Instant};
 
+/// After this time a change counts as told, whatever calls failed since discovery had it.
+const TOLD: Duration = Duration::from_secs(6);
+
 /// Where `s-new` has taken the place of `s-old`, as a change or as the whole list.
 pub fn replaced(index: u64, snapshot: bool, old: &Endpoint, new: &Endpoint) -> String {
     let both = [("s-old", old.address, "leaving"), ("s-new", new.address, "active")];
@@ -31,6 +34,46 @@
     sidecar.ask(&request("book", "", "")).expect("an answer").body
 }
 
+// Invariant: whatever the settings allow between two questions, discovery that failed is asked again before what it has
+// to tell counts as told.
+#[test]
+fn a_discovery_that_failed_often_is_asked_again_before_a_change_counts_as_told() {
+    for within in ["30000000", "3600000000"] {
+        let agent = Agent::start();
+        let (old, new) = old_and_new();
+        let sidecar = agent.sidecar_altered(&[("s-old", &old)], |config| {
+            config.replace("\"AskWithinUs\":2000000", &format!("\"AskWithinUs\":{within}"))
+        });
+        for failure in 0..8 {
+            let call = agent.call_within(TOLD);
+            let call = call.unwrap_or_else(|| panic!("no call within {TOLD:?} of failure {failure}"));
+            call.answer_as(503, "", "");
+        }
+        let change = replaced(2, false, &old, &new);
+        let _watch = tell(&agent, 2, |call| call.answer(&change));
+        assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0));
+    }
+}
+
+// A second holds at most ten waits of 100 ms or more and some shorter ones before them; a tight loop holds hundreds.
+#[test]
+fn settings_that_allow_no_time_between_two_questions_make_no_tight_loop() {
+    for within in ["0", "1"] {
+        let agent = Agent::start();
+        let endpoint = Endpoint::start(|_| ok("served"));
+        let _sidecar = agent.sidecar_altered(&[("s-1", &endpoint)], |config| {
+            config.replace("\"AskWithinUs\":2000000", &format!("\"AskWithinUs\":{within}"))
+        });
+        agent.call().answer_as(503, "", "");
+        let (until, mut calls) = (Instant::now() + Duration::from_secs(1), 0);
+        while let Some(call) = agent.call_within(until.saturating_duration_since(Instant::now())) {
+            call.answer_as(503, "", "");
+            calls += 1;
+        }
+        assert!(calls <= 20, "{calls} calls in a second");
+    }
+}
+
 #[test]
 fn watches_that_end_or_are_reset_in_place_of_telling_miss_no_change() {
     for reset in [false, true] {
