Ask without a wait for what a broken watch may have missed, and have no wait after silence

Cause: discovery.rs, keep_watching: a watch opened anew after a reset, an end or an error waited for up to 3 s and was given up after 4 s: silent right then, a change before it came 4 s and the module's waits later. Where lists are asked for, a second silent call in a row (watching.rs, silent) had the module's wait on top.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -37,7 +37,6 @@
 pub async fn run(
     mut at: watch::Receiver<SocketAddr>,
     known: Option<u64>,
-    pushed: bool,
     seed: u64,
     mut asks: mpsc::UnboundedReceiver<Ask>,
     inputs: Inputs,
@@ -64,7 +63,9 @@
             // One that runs goes on: a second would only put more load on discovery.
             Ask::Watch if watching.as_ref().is_some_and(|w| !w.is_finished()) => {}
             Ask::Watch => {
-                let task = keep_watching(at, pushed, rng.fork(), Rc::clone(&index), inputs.clone());
+                // One that has ended has failed.
+                let begins = Watching::new(watching.is_some());
+                let task = keep_watching(at, begins, rng.fork(), Rc::clone(&index), inputs.clone());
                 watching = Some(spawn_local(task).abort_handle());
             }
             Ask::StopWatch => {
@@ -87,12 +88,12 @@
 /// Call after call until one fails; the module then says when to begin anew.
 async fn keep_watching(
     at: SocketAddr,
-    pushed: bool,
+    mut watching: Watching,
     mut rng: fastrand::Rng,
     index: Rc<Cell<Option<u64>>>,
     inputs: Inputs,
 ) {
-    let (mut link, mut watching) = (None, Watching::new(pushed));
+    let mut link = None;
     loop {
         let next = Instant::now() + SPACING;
         let after = index.get();
@@ -102,7 +103,10 @@
                 watching.answered();
                 true
             }
-            Err(Failure::Silent) => watching.silent(),
+            Err(Failure::Silent) => {
+                watching.silent();
+                true
+            }
             Err(Failure::Said(_)) => false,
         };
         tell(answer, &index, &inputs);
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -96,7 +96,7 @@
         if pushed {
             let _ = engine.asks.send(Ask::Watch);
         }
-        spawn_local(discovery::run(discovery_at, known, pushed, config.seed, asked, sender.clone()));
+        spawn_local(discovery::run(discovery_at, known, config.seed, asked, sender.clone()));
         if let Some(peers) = peers {
             spawn_local(peers.pass_on(sender.clone()));
         }
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -74,6 +74,30 @@
     }
 }
 
+// What ended the watch may have come in place of a change: it is asked for without a wait, so that silence right then does
+// not last as long as a watch.
+#[test]
+fn after_a_watch_that_broke_what_it_may_have_missed_is_asked_for_without_a_wait() {
+    for mode in ["on_request", "pushed"] {
+        let agent = Agent::start();
+        let (old, new) = old_and_new();
+        let sidecar = agent.sidecar(mode, &[("s-old", &old)]);
+        let first = agent.call();
+        assert!(first.wait_ms().is_some_and(|ms| ms > 0), "{mode}: {}", first.start);
+        first.reset();
+        // Silent again directly after it was opened anew.
+        let second = agent.call();
+        assert_eq!((second.after(), second.wait_ms()), (Some(1), Some(0)), "{mode}");
+        let third = agent.call();
+        assert!(third.wait_ms().is_some_and(|ms| ms > 0), "{mode}: {}", third.start);
+        third.answer(&replaced(2, false, &old, &new));
+        let _watch = tell(&agent, 2, |call| call.answer(&replaced(2, false, &old, &new)));
+        // What the given-up call brings now is not read.
+        second.answer(&list(9, true, &[("s-old", old.address, "active")]));
+        assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0), "{mode}");
+    }
+}
+
 #[test]
 fn watches_that_end_or_are_reset_in_place_of_telling_miss_no_change() {
     for reset in [false, true] {
