Have each call for the list owned by the follower of one address

Cause: discovery.rs, run: a single call for the whole list was nobody's: it went on after SIGHUP had moved discovery, and its late answer would have set the old agent's version for calls to the new one. The module asks for none today (Action::FetchList is never taken), so no test reaches it; found by reading. Change: a Follower holds address, version and calls, and ends its calls when it is replaced; the move is looked at before asks.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -33,6 +33,64 @@
     Fetch,
 }
 
+/// What follows the list at one address. Where discovery moves, nothing of it is left.
+struct Follower {
+    at: SocketAddr,
+    /// The version that is held, if it is one of this address's.
+    index: Rc<Cell<Option<u64>>>,
+    inputs: Inputs,
+    watching: Option<AbortHandle>,
+    fetching: Option<AbortHandle>,
+}
+
+impl Follower {
+    fn new(at: SocketAddr, known: Option<u64>, inputs: Inputs) -> Self {
+        Self { at, index: Rc::new(Cell::new(known)), inputs, watching: None, fetching: None }
+    }
+
+    /// Watches. One that runs goes on: a second would only put more load on discovery. One that has ended has failed.
+    fn watch(&mut self, rng: fastrand::Rng) {
+        if running(&self.watching) {
+            return;
+        }
+        let watching = Watching::new(self.watching.is_some());
+        let task = keep_watching(self.at, watching, rng, Rc::clone(&self.index), self.inputs.clone());
+        self.watching = Some(spawn_local(task).abort_handle());
+    }
+
+    fn stop_watch(&mut self) {
+        if let Some(watching) = self.watching.take() {
+            watching.abort();
+        }
+    }
+
+    fn fetch(&mut self) {
+        if running(&self.fetching) {
+            return;
+        }
+        let (at, index, inputs) = (self.at, Rc::clone(&self.index), self.inputs.clone());
+        let fetch = async move {
+            let whole = Call { wait: Duration::ZERO, within: PATIENCE };
+            let answer = call(at, &mut None, None, whole).await;
+            tell(answer, None, &index, &inputs);
+        };
+        self.fetching = Some(spawn_local(fetch).abort_handle());
+    }
+}
+
+impl Drop for Follower {
+    /// Late answers are no longer heard.
+    fn drop(&mut self) {
+        for task in [self.watching.take(), self.fetching.take()].into_iter().flatten() {
+            task.abort();
+        }
+    }
+}
+
+fn running(task: &Option<AbortHandle>) -> bool {
+    task.as_ref().is_some_and(|task| !task.is_finished())
+}
+
 /// Carries out what is asked, one watch at most at a time. Where discovery moves, the watch moves along at once.
 pub async fn run(
     mut at: watch::Receiver<SocketAddr>,
@@ -42,45 +100,26 @@
     inputs: Inputs,
 ) {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let index = Rc::new(Cell::new(known));
-    let mut watching: Option<AbortHandle> = None;
+    let start = *at.borrow_and_update();
+    let mut follower = Follower::new(start, known, inputs.clone());
     loop {
-        let ask = tokio::select! {
-            ask = asks.recv() => match ask {
-                Some(ask) => ask,
-                None => return,
-            },
+        tokio::select! {
+            biased;
             Ok(()) = at.changed() => {
+                let watched = follower.watching.is_some();
+                let moved = *at.borrow_and_update();
                 // Whether versions go on there is not known: the whole list comes first.
-                index.set(None);
-                let Some(old) = watching.take() else { continue };
-                old.abort();
-                Ask::Watch
-            }
-        };
-        let at = *at.borrow();
-        match ask {
-            // One that runs goes on: a second would only put more load on discovery.
-            Ask::Watch if watching.as_ref().is_some_and(|w| !w.is_finished()) => {}
-            Ask::Watch => {
-                // One that has ended has failed.
-                let begins = Watching::new(watching.is_some());
-                let task = keep_watching(at, begins, rng.fork(), Rc::clone(&index), inputs.clone());
-                watching = Some(spawn_local(task).abort_handle());
-            }
-            Ask::StopWatch => {
-                if let Some(watching) = watching.take() {
-                    watching.abort();
+                follower = Follower::new(moved, None, inputs.clone());
+                if watched {
+                    follower.watch(rng.fork());
                 }
             }
-            Ask::Fetch => {
-                let (index, inputs) = (Rc::clone(&index), inputs.clone());
-                spawn_local(async move {
-                    let mut link = None;
-                    let whole = Call { wait: Duration::ZERO, within: PATIENCE };
-                    tell(call(at, &mut link, None, whole).await, &index, &inputs);
-                });
-            }
+            ask = asks.recv() => match ask {
+                Some(Ask::Watch) => follower.watch(rng.fork()),
+                Some(Ask::StopWatch) => follower.stop_watch(),
+                Some(Ask::Fetch) => follower.fetch(),
+                None => return,
+            },
         }
     }
 }
@@ -109,7 +148,7 @@
             }
             Err(Failure::Said(_)) => false,
         };
-        tell(answer, &index, &inputs);
+        tell(answer, after, &index, &inputs);
         if !goes_on {
             return;
         }
@@ -117,8 +156,8 @@
     }
 }
 
-/// Passes on an answer or a failure.
-fn tell(answer: Result<HostList, Failure>, index: &Cell<Option<u64>>, inputs: &Inputs) {
+/// Passes on a failure, or an answer to a call for news after that version.
+fn tell(answer: Result<HostList, Failure>, after: Option<u64>, index: &Cell<Option<u64>>, inputs: &Inputs) {
     match answer {
         Ok(list) => {
             index.set(Some(list.index));
