Ask for the whole list when changes come under a lower version

Cause: discovery.rs, tell: an agent that began anew counts from a lower version; its changes were taken for changes to the list that is held, and its version was followed: what had gone in between stayed on the list. Change: after changes under a version below the one asked for, the whole list is asked for. A whole list counts whatever its version. An answer that was overtaken by a newer one of another call is dropped.

--- a/src/bin/tinflow/discovery.rs
+++ b/src/bin/tinflow/discovery.rs
@@ -160,7 +160,14 @@
 fn tell(answer: Result<HostList, Failure>, after: Option<u64>, index: &Cell<Option<u64>>, inputs: &Inputs) {
     match answer {
         Ok(list) => {
-            index.set(Some(list.index));
+            let held = index.get();
+            if held != after && held > Some(list.index) {
+                // Another call was answered meanwhile, with something newer.
+                return;
+            }
+            // Where changes go back to an earlier version, discovery has begun anew: what they build on is not held here.
+            let follows = list.snapshot || after.is_none_or(|after| after <= list.index);
+            index.set(follows.then_some(list.index));
             inputs.send(Input::Hosts(list));
         }
         Err(Failure::Silent) => inputs.send(Input::HostsFailed("no answer".to_owned())),
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -131,6 +131,25 @@
     assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0));
 }
 
+// An agent that began anew numbers its versions anew: changes to what it held do not fit to what is held here.
+#[test]
+fn changes_under_a_lower_version_are_followed_by_the_whole_list() {
+    let agent = Agent::start();
+    let (old, new) = old_and_new();
+    let sidecar = agent.sidecar("pushed", &[("s-old", &old)]);
+    let mut call = tell(&agent, 41, |call| call.answer(&list(41, true, &[("s-old", old.address, "active")])));
+    let until = Instant::now() + LONG;
+    while call.after() == Some(41) && Instant::now() < until {
+        call.answer(&list(3, false, &[]));
+        call = agent.call();
+    }
+    let whole = call;
+    assert_eq!(whole.after(), None, "{}", whole.start);
+    whole.answer(&replaced(3, true, &old, &new));
+    let _watch = tell(&agent, 3, |call| call.answer(&replaced(3, true, &old, &new)));
+    assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0));
+}
+
 // A whole list counts whatever its version.
 #[test]
 fn a_whole_list_under_a_lower_version_is_followed() {
