Read each entry of a list by itself: an odd one costs the others nothing

Cause: hosts.rs: one entry with an unknown status, a host name for an address, a null or negative number or no name made the whole answer unreadable; it was asked for again and again, and no change came through while the entry was there. In the known list of the configuration such an entry kept the program from starting. Change: an entry is read field by field. In a state or at an address that cannot be read it gets nothing new; odd labels and cells are told apart by how they are written, as who shares a cell decides about repeats; other odd numbers count as absent. An entry without a name is left out, with a line in the log; a list of which no entry can be read stays a failed call.

--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -100,7 +100,8 @@
         if let Some(peers) = peers {
             spawn_local(peers.pass_on(sender.clone()));
         }
-        let known = config.known.unwrap_or(HostList { index: 0, snapshot: true, endpoints: Vec::new() });
+        let known =
+            config.known.unwrap_or(HostList { index: 0, snapshot: true, endpoints: Vec::new(), unread: 0 });
         let listings = engine.listed.apply(known, true, |id| engine.balancer.knows(id));
         engine.deliver(Event::Endpoints(ListUpdate::Cached(listings)));
         Ok((engine, Handle::new(sender, clock)))
@@ -150,6 +151,9 @@
                 self.deliver(Event::ProbeEnded { endpoint, outcome, took, load });
             }
             Input::Hosts(list) => {
+                if list.unread > 0 {
+                    self.complain(&format!("discovery: {} entries without a name", list.unread));
+                }
                 self.observer.listed();
                 let update = self.listed.answered(list, |id| self.balancer.knows(id));
                 self.deliver(Event::Endpoints(update));
--- a/src/bin/tinflow/kept.rs
+++ b/src/bin/tinflow/kept.rs
@@ -30,7 +30,7 @@
         let platform = config.known.as_ref().map_or(0, |list| list.index);
         if let Some(list) = kept.filter(|list| list.index > platform) {
             let endpoints = list.entries.into_iter().map(host).collect();
-            config.known = Some(HostList { index: platform, snapshot: true, endpoints });
+            config.known = Some(HostList { index: platform, snapshot: true, endpoints, unread: 0 });
         }
         Self::default()
     }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -7,6 +7,7 @@
 mod list_forms;
 mod lists;
 mod moves;
+mod odd_lists;
 mod requests;
 mod starting;
 mod stopping;
