--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,10 +4,14 @@
 mod stubs;
 
 mod connections;
+mod list_forms;
 mod lists;
+mod moves;
+mod odd_lists;
 mod requests;
 mod starting;
 mod stopping;
+mod watches;
 
 use stubs::*;
 
