Repeat a keyed request only where it was known as it was sent, not where its endpoint is listed now

Cause: rules.rs compared the zone or cell of the endpoint to be sent to with that of the earlier attempt's endpoint by the list of now. An endpoint that a list moves to another cell under an attempt took the request's scope along, to a cell in which nobody has seen the key.

Change: an attempt keeps the zone and cell of its endpoint as it was sent. The model of tests/rules judges by the same, and its lists move endpoints between zones and cells.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -128,7 +128,8 @@
         self.fleet.retries -= f64::from(attempt > 0);
         self.fleet.trials -= f64::from(e.gate() != Circuit::Closed);
         self.queue.remove(&request.place(id));
-        request.attempts.push(Attempt { endpoint, sent: now, live: true, may_have_run: true });
+        let (zone, cell) = (e.zone, e.cell);
+        request.attempts.push(Attempt { endpoint, zone, cell, sent: now, live: true, may_have_run: true });
         request.state = State::Sent;
         out.push(Action::Send { request: id, endpoint, timeout, write_by });
     }
--- a/src/choice/rules.rs
+++ b/src/choice/rules.rs
@@ -23,11 +23,10 @@
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
             Effect::Keyed { scope, .. } => ran.all(|a| {
-                let other = &self.endpoints[a.endpoint];
                 let drops = match scope {
                     DedupScope::All => true,
-                    DedupScope::Zone => other.zone == e.zone,
-                    DedupScope::Cell => other.cell == e.cell,
+                    DedupScope::Zone => a.zone == e.zone,
+                    DedupScope::Cell => a.cell == e.cell,
                 };
                 drops && now < self.repeat_by(request)
             }),
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -4,6 +4,9 @@
 
 pub struct Attempt {
     pub endpoint: EndpointId,
+    /// Where it was then: a later list may move it, and what it has seen stays with those who saw it.
+    pub zone: Option<ZoneId>,
+    pub cell: u64,
     pub sent: Micros,
     pub live: bool,
     /// Also while it is live.
--- a/tests/rules/judge.rs
+++ b/tests/rules/judge.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 pub struct Sent {
-    pub endpoint: EndpointId,
+    /// As it was listed then.
+    pub to: Listing,
     pub at: Micros,
     pub outcome: Option<Outcome>,
 }
@@ -49,7 +50,7 @@
                             Effect::Safe => {}
                             Effect::Unsafe => panic!("an unsafe request sent twice"),
                             Effect::Keyed { scope, ttl } => {
-                                let from = &self.status[earlier.endpoint];
+                                let from = &earlier.to;
                                 let same = match scope {
                                     DedupScope::All => true,
                                     DedupScope::Zone => from.zone == to.zone,
@@ -60,7 +61,7 @@
                             }
                         }
                     }
-                    open.attempts.push(Sent { endpoint, at: now, outcome: None });
+                    open.attempts.push(Sent { to: to.clone(), at: now, outcome: None });
                 }
                 Action::Refuse { request, .. } => {
                     let open = self.open.remove(&request).expect("a refusal of an open request");
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -91,6 +91,8 @@
                 let one = rng.usize(0..endpoints);
                 let states = [Status::Ready, Status::Ready, Status::Draining, Status::Gone];
                 judge.status[one].status = *rng.choice(&states).expect("some");
+                let moved = &mut judge.status[one];
+                (moved.zone, moved.cell) = (Some(rng.usize(0..3)), rng.u64(0..3));
                 judge.status[one].started = rng.bool().then_some(rig.now - rng.i64(0..8000) * MS);
                 let list = if rng.bool() {
                     ListUpdate::Delta(vec![judge.status[one].clone()])
--- a/tests/sidecar/repeats.rs
+++ b/tests/sidecar/repeats.rs
@@ -67,6 +67,26 @@
     TcpListener::from(socket)
 }
 
+// Only the group in which a request may have run knows its key: that is the one that the endpoint was in when it got
+// the request, not one that a later list moved it to.
+#[test]
+fn a_repeat_goes_by_the_group_in_which_the_request_may_have_run() {
+    let (discovery, first) = (Discovery::start(), Holding::start());
+    let second = Endpoint::start(|_| ok("twice"));
+    let in_cells = |config: String| config.replace("\"DedupScope\":\"all\"", "\"DedupScope\":\"cell\"");
+    let sidecar = Sidecar::start_altered(&discovery, &[("s-1", &first.endpoint)], 1024, in_cells);
+    let mut client = sidecar.connect();
+    client.write_all(request("pay", "", "{}").as_bytes()).expect("the sidecar takes it");
+    first.await_request();
+    let both = [("s-1", first.endpoint.address, "active"), ("s-2", second.address, "active")];
+    discovery.publish(2, list(2, false, &both).replace("\"group\":1", "\"group\":2"));
+    discovery.await_watch(2);
+    first.close();
+    let status = read_message(&mut client).expect("an answer").status();
+    assert!(status >= 500 && status != 503, "{status}");
+    assert_eq!((first.endpoint.requests(), second.requests()), (1, 0));
+}
+
 // By the client's clock, which began with the head of its request: what an endpoint is told may not be more.
 #[test]
 fn each_attempt_tells_no_more_time_than_its_client_has_left() {
