Take a broken 503 or 504 for one that may have run, whatever its head promises

Cause: upstream.rs took X-Unprocessed in the head of a 503 or 504 as proof that a request never ran, also where the answer broke off after it or went on beyond 64 KiB. By the terms an answer that can't be read as the protocol defines it may have run; an unsafe request was sent again, up to the most attempts.

Change: only an answer that was read to its end is such a proof.

--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -120,7 +120,10 @@
                     (Outcome::Error, None, load)
                 }
                 (StatusCode::OK, _) => (Outcome::Reset, None, load),
-                (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if unprocessed => {
+                // One that breaks off can't be read as what it promises to be.
+                (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, Some(Ok(_)))
+                    if unprocessed =>
+                {
                     (Outcome::Rejected, None, load)
                 }
                 _ => (Outcome::Error, None, load),
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,6 +4,7 @@
 mod stubs;
 
 mod connections;
+mod cuts;
 mod extremes;
 mod lists;
 mod repeats;
--- a/tests/sidecar/repeats.rs
+++ b/tests/sidecar/repeats.rs
@@ -87,6 +87,23 @@
     assert_eq!((first.endpoint.requests(), second.requests()), (1, 0));
 }
 
+// An answer that cannot be read as it is meant counts as one that may have run, whatever its head promised.
+#[test]
+fn an_unsafe_request_turned_away_in_a_broken_answer_is_not_sent_again() {
+    for (headers, body) in [
+        ("X-Unprocessed: 1\r\nTransfer-Encoding: chunked\r\nX-Not-", b"5\r\nhel".to_vec()),
+        ("X-Unprocessed: 1\r\n", vec![b'x'; 70_000]),
+    ] {
+        let discovery = Discovery::start();
+        let reply = move |_: &Message| Reply::AnswerAndClose(503, headers, body.clone());
+        let [one, two] = [Endpoint::start(reply.clone()), Endpoint::start(reply)];
+        let sidecar = Sidecar::start(&discovery, &[("s-1", &one), ("s-2", &two)]);
+        let status = sidecar.ask(&request("book", "", "{}")).expect("an answer").status();
+        assert!(status >= 500 && status != 503, "{status}");
+        assert_eq!(one.requests() + two.requests(), 1, "{headers}");
+    }
+}
+
 // By the client's clock, which began with the head of its request: what an endpoint is told may not be more.
 #[test]
 fn each_attempt_tells_no_more_time_than_its_client_has_left() {
