Hold an attempt to the process that was chosen: one started in its place is another

Cause: upstream.rs compared addresses after a dial. A process that was replaced at the same address while it was dialled (a new since_ms) got what was decided for the one before it, past its slow start; the engine's list update may also come between the decision and the first turn of the attempt's task. Ruled out: a name gone and listed anew under another name (its endpoint is not ready), and a number given out again (only when the module holds no attempt there).

Change: an endpoint's target is its address and start. It is taken as the attempt is decided, and compared before each dial and each write; idle connections to the process before are closed. An attempt that finds another target, or none, was never sent, and says nothing of the endpoint: before, a dial under way to an endpoint that left counted as a failure there. pool.rs and listed.rs change by the type of the target alone.

--- a/src/api/request.rs
+++ b/src/api/request.rs
@@ -40,7 +40,8 @@
     Reset,
     /// Cancelled; it may have run.
     Cancelled,
-    /// Never sent: the request had ended, its time was over or its attempts were spent.
+    /// Never sent: the request had ended, its time was over, its attempts were spent, or the endpoint was no longer
+    /// the one that it was meant for.
     NotSent,
 }
 
--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -235,9 +235,11 @@
     fn send(&mut self, request: RequestId, endpoint: usize, times: Times) {
         // The module holds no request that is not held here: both learn of every end in the same turn.
         let Some((attempt, outgoing)) = self.open.next(request, self.listed.name(endpoint)) else { return };
+        let to = self.pool.endpoint(endpoint);
+        // What was decided holds for the process that is there now.
         let attempting = Rc::clone(&self.upstream).attempt(
             (request, attempt),
-            self.pool.endpoint(endpoint),
+            (to.target(), to),
             outgoing,
             times,
             self.sender.clone(),
--- a/src/bin/tinflow/listed.rs
+++ b/src/bin/tinflow/listed.rs
@@ -4,7 +4,7 @@
 use crate::hosts::{HostList, HostStatus};
 #[cfg(feature = "product")]
 use crate::messages::Named;
-use crate::pool::Pool;
+use crate::pool::{Pool, Target};
 use crate::product::{Fleet, State};
 use linenproxy::settings::Names;
 #[cfg(feature = "product")]
@@ -76,7 +76,8 @@
                 (HostStatus::Active, None) | (HostStatus::Leaving, _) => Status::Draining,
                 (HostStatus::Left, _) => Status::Gone,
             };
-            self.pool.endpoint(id).set(host.address, status == Status::Ready);
+            let at = host.address.map(|address| Target { address, since_ms: host.since_ms });
+            self.pool.endpoint(id).set(at, status == Status::Ready);
             listings.push(Listing {
                 endpoint: id,
                 zone: host.zone.map(|zone| self.zones.id(&zone)),
--- a/src/bin/tinflow/pool.rs
+++ b/src/bin/tinflow/pool.rs
@@ -15,10 +15,19 @@
 /// written later than that would end as a reset.
 const IDLE_MARGIN: u32 = 8;
 
+/// A process and where it is reached: one that is started later at the same address is another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Unix time in milliseconds of its start as it is listed.
+    pub since_ms: i64,
+}
+
 /// An endpoint as the sockets see it: where it is, whether it may be sent anything, and idle connections.
 #[derive(Default)]
 pub struct Endpoint {
-    address: Cell<Option<SocketAddr>>,
+    at: Cell<Option<Target>>,
     ready: Cell<bool>,
     /// The most recently used one is last.
     idle: RefCell<Vec<Idle>>,
@@ -31,13 +40,13 @@
 }
 
 impl Endpoint {
-    /// Follows the list. Idle connections to an address that is no longer in use are closed.
-    pub fn set(&self, address: Option<SocketAddr>, ready: bool) {
-        if self.address.get() != address || !ready {
+    /// Follows the list. Idle connections to a process that is no longer in use are closed.
+    pub fn set(&self, at: Option<Target>, ready: bool) {
+        if self.at.get() != at || !ready {
             self.close_idle();
         }
-        self.address.set(address);
-        self.ready.set(ready && address.is_some());
+        self.at.set(at);
+        self.ready.set(ready && at.is_some());
     }
 
     /// Closes the idle connections.
@@ -45,9 +54,9 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Where to send to, if anything may be sent at all.
-    pub fn target(&self) -> Option<SocketAddr> {
-        self.address.get().filter(|_| self.ready.get())
+    /// Whom to send to, if anything may be sent at all.
+    pub fn target(&self) -> Option<Target> {
+        self.at.get().filter(|_| self.ready.get())
     }
 }
 
@@ -134,12 +143,12 @@
     pub async fn park(
         &self,
         endpoint: &Endpoint,
-        address: SocketAddr,
+        target: Target,
         mut connection: Connection,
         permit: OwnedSemaphorePermit,
     ) {
         connection.turn().await;
-        if endpoint.target() == Some(address) && connection.usable() {
+        if endpoint.target() == Some(target) && connection.usable() {
             endpoint.idle.borrow_mut().push(Idle { connection, permit, since: Instant::now() });
             self.parked.notify_one();
         }
@@ -173,8 +182,9 @@
         let (connection, permit) = pool.dial(address).await.expect("there is room");
         assert!(pool.dial(address).await.is_none());
         let endpoint = pool.endpoint(0);
-        endpoint.set(Some(address), true);
-        pool.park(&endpoint, address, connection, permit).await;
+        let target = Target { address, since_ms: 0 };
+        endpoint.set(Some(target), true);
+        pool.park(&endpoint, target, connection, permit).await;
         assert!(pool.dial(address).await.is_some());
         assert!(pool.reuse(&endpoint).is_none());
         listener.set_nonblocking(true).expect("it can");
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::Meter;
 use crate::messages::{Ended, Input, Inputs, LONGEST_BODY, Outgoing, Served, TIME_LEFT};
-use crate::pool::{Endpoint, Pool};
+use crate::pool::{Endpoint, Pool, Target};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -21,6 +21,8 @@
 const BACKEND_LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
 type Reply = (Outcome, Option<Served>, Load);
+/// The process that an attempt is meant for, and its endpoint as it is now.
+type To<'a> = (Target, &'a Endpoint);
 
 /// Until when an attempt may do what.
 #[derive(Clone, Copy)]
@@ -46,19 +48,22 @@
     pub async fn attempt(
         self: Rc<Self>,
         (request, attempt): (RequestId, AttemptNo),
-        endpoint: Rc<Endpoint>,
+        (target, endpoint): (Option<Target>, Rc<Endpoint>),
         outgoing: Rc<Outgoing>,
         times: Times,
         inputs: Inputs,
     ) {
-        let (outcome, served, load) = self.within(times, &endpoint, &outgoing).await;
+        let (outcome, served, load) = match target {
+            Some(target) => self.within(times, (target, &endpoint), &outgoing).await,
+            None => plain(Outcome::NotSent),
+        };
         inputs.send(Input::Ended(Ended { request, attempt, outcome, served, load }));
     }
 
     /// An exchange inside its times.
-    async fn within(&self, times: Times, endpoint: &Endpoint, out: &Outgoing) -> Reply {
+    async fn within(&self, times: Times, to: To<'_>, out: &Outgoing) -> Reply {
         let meter = Meter::new(out.body.len());
-        let mut exchange = pin!(self.exchange(endpoint, out, &meter, times));
+        let mut exchange = pin!(self.exchange(to, out, &meter, times));
         tokio::select! {
             biased;
             () = sleep_until(times.write_by) => {}
@@ -66,34 +71,29 @@
         }
         // What has not wholly been written never began, and is not to begin any more.
         if !meter.complete() {
-            return (Outcome::ConnectFailed, None, Load::default());
+            return plain(Outcome::ConnectFailed);
         }
         // An answer that is there as the time ends still counts.
         let reply = timeout_at(times.until, exchange).await;
-        reply.unwrap_or((Outcome::TimedOut, None, Load::default()))
+        reply.unwrap_or(plain(Outcome::TimedOut))
     }
 
-    async fn exchange(&self, endpoint: &Endpoint, out: &Outgoing, meter: &Meter, times: Times) -> Reply {
-        let plain = |outcome| (outcome, None, Load::default());
+    async fn exchange(&self, to: To<'_>, out: &Outgoing, meter: &Meter, times: Times) -> Reply {
+        let (target, endpoint) = to;
         loop {
-            let Some(address) = endpoint.target() else { return plain(Outcome::ConnectFailed) };
+            if let Some(outcome) = barred(to, out, times) {
+                return plain(outcome);
+            }
             let (mut connection, permit, reused) = match self.pool.reuse(endpoint) {
                 Some((connection, permit)) => (connection, permit, true),
-                None => match self.pool.dial(address).await {
+                None => match self.pool.dial(target.address).await {
                     Some((connection, permit)) => (connection, permit, false),
                     None => return plain(Outcome::ConnectFailed),
                 },
             };
-            // While it was dialled the endpoint may have been told to leave or have moved, and the request may
-            // have been answered: nothing is to be written then.
-            if endpoint.target() != Some(address) {
-                return plain(Outcome::ConnectFailed);
-            }
-            if out.settled.get() {
-                return plain(Outcome::NotSent);
-            }
-            if Instant::now() >= times.write_by {
-                return plain(Outcome::ConnectFailed);
+            // It may have changed while it was dialled.
+            if let Some(outcome) = barred(to, out, times) {
+                return plain(outcome);
             }
             let Some(request) = out.request(times.until) else { return plain(Outcome::NotSent) };
             let Ok(response) = connection.request(request, meter.clone()).await else {
@@ -109,7 +109,7 @@
             let load = head.headers.get(BACKEND_LOAD).map(read_load).unwrap_or_default();
             let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
             if whole {
-                self.pool.park(endpoint, address, connection, permit).await;
+                self.pool.park(endpoint, target, connection, permit).await;
             }
             return match (head.status, body) {
                 (StatusCode::OK, Some(Ok(body))) => {
@@ -140,12 +140,30 @@
         let outgoing =
             Outgoing { method: Method::GET, uri, headers, body: Bytes::new(), settled: Cell::new(false) };
         let until = start + PROBE_TIME;
-        let (outcome, _, load) = self.within(Times { write_by: until, until }, &endpoint, &outgoing).await;
+        let (outcome, _, load) = match endpoint.target() {
+            Some(target) => {
+                self.within(Times { write_by: until, until }, (target, &endpoint), &outgoing).await
+            }
+            None => plain(Outcome::ConnectFailed),
+        };
         let took = Micros::try_from(start.elapsed().as_micros()).unwrap_or(Micros::MAX);
         inputs.send(Input::Probed(id, outcome, took, load));
     }
 }
 
+fn plain(outcome: Outcome) -> Reply {
+    (outcome, None, Load::default())
+}
+
+/// How an attempt ends that must not begin any more: its request has its answer, the process that it was meant for
+/// has been told to leave, has moved or been replaced, or its time is over.
+fn barred((target, endpoint): To<'_>, out: &Outgoing, times: Times) -> Option<Outcome> {
+    if out.settled.get() || endpoint.target() != Some(target) {
+        return Some(Outcome::NotSent);
+    }
+    (Instant::now() >= times.write_by).then_some(Outcome::ConnectFailed)
+}
+
 impl Outgoing {
     fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod cuts;
 mod extremes;
+mod handovers;
 mod lists;
 mod repeats;
 mod requests;
