Hear what came while a connection was made before anything is written to it

Cause: as a dial came up, upstream.rs checked client and endpoint and wrote some turns of the runtime later, and what had come meanwhile (the client's leaving, a list) was read only after the attempt's task had run, as the dial was ready first. In a process that was held up that may be long ago. Where attempts may be called back, the calling back came in between for the client, but not for a list, and not where MayCancel is false.

Change: a new connection is made ready to write, then all other tasks and the sockets have a turn, then the checks are made and the first byte goes out in the same turn. It costs one look at the sockets for each dial, nothing for a reused one.

--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -12,6 +12,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// How long a probe may take.
@@ -87,7 +88,13 @@
             let (mut connection, permit, reused) = match self.pool.reuse(endpoint) {
                 Some((connection, permit)) => (connection, permit, true),
                 None => match self.pool.dial(target.address).await {
-                    Some((connection, permit)) => (connection, permit, false),
+                    Some((mut connection, permit)) => {
+                        // Made ready to write at once, and then what has come meanwhile is heard first: a client's
+                        // leaving, the list.
+                        connection.turn().await;
+                        yield_now().await;
+                        (connection, permit, false)
+                    }
                     None => return plain(Outcome::ConnectFailed),
                 },
             };
--- a/tests/sidecar/handovers.rs
+++ b/tests/sidecar/handovers.rs
@@ -3,6 +3,7 @@
 use crate::ok;
 use crate::stubs::*;
 use std::io::Write;
+use std::net::Shutdown;
 use std::sync::atomic::Ordering;
 
 /// One attempt, and much time to make its connection.
@@ -30,3 +31,46 @@
     assert!(endpoint.made.load(Ordering::SeqCst) >= 2, "the dial never came up");
     assert_eq!(endpoint.requests(), 0);
 }
+
+// Both have come while the process was stopped, the connection first: before the request is written, the other is to
+// be heard, also where an attempt may not be called back.
+#[test]
+fn a_client_that_left_before_the_connection_came_up_is_noticed_before_anything_is_written() {
+    let (discovery, held) = (Discovery::start(), Held::start());
+    let no_cancel = |config: String| one_try(config).replace("\"MayCancel\":true", "\"MayCancel\":false");
+    let sidecar = Sidecar::start_altered(&discovery, &[], 1024, no_cancel);
+    discovery.publish(2, list(2, false, &[("s-1", held.address, "active")]));
+    discovery.await_watch(2);
+    let mut client = sidecar.connect();
+    client.write_all(request("book", "", "{}").as_bytes()).expect("the sidecar takes it");
+    await_that("the endpoint is dialled", || being_dialled(held.address));
+    sidecar.stop();
+    let endpoint = Endpoint::on(held.release(), |_| Reply::Silence);
+    await_that("the connection is up", || endpoint.made.load(Ordering::SeqCst) == 2);
+    client.shutdown(Shutdown::Both).expect("it closes");
+    sidecar.signal("-CONT");
+    // With it whatever was written has been read.
+    await_that("the connection is closed", || endpoint.closed() == 2);
+    assert_eq!(endpoint.requests(), 0);
+}
+
+// The same with a list that says that the endpoint leaves.
+#[test]
+fn an_endpoint_told_to_leave_before_the_connection_came_up_gets_nothing_written() {
+    let (discovery, held) = (Discovery::start(), Held::start());
+    let sidecar = Sidecar::start_altered(&discovery, &[], 1024, one_try);
+    discovery.publish(2, list(2, false, &[("s-1", held.address, "active")]));
+    discovery.await_watch(2);
+    let mut client = sidecar.connect();
+    client.write_all(request("book", "", "{}").as_bytes()).expect("the sidecar takes it");
+    await_that("the endpoint is dialled", || being_dialled(held.address));
+    sidecar.stop();
+    let address = held.address;
+    let endpoint = Endpoint::on(held.release(), |_| ok("too late"));
+    await_that("the connection is up", || endpoint.made.load(Ordering::SeqCst) == 2);
+    discovery.publish(3, list(3, false, &[("s-1", address, "leaving")]));
+    discovery.await_told(3);
+    sidecar.signal("-CONT");
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 503, "known not to have run");
+    assert_eq!(endpoint.requests(), 0);
+}
--- a/tests/stubs/discovery.rs
+++ b/tests/stubs/discovery.rs
@@ -21,6 +21,8 @@
     version: u64,
     body: String,
     calls: Vec<String>,
+    /// Answers that the system has taken.
+    answers: Vec<String>,
 }
 
 impl Discovery {
@@ -36,6 +38,7 @@
                     while let Some(call) = read_message(&mut stream) {
                         let (status, body) = Self::wait(&state, &failing, &call);
                         answer(&mut stream, status, "", body.as_bytes());
+                        state.0.lock().expect("no stub panics").answers.push(body);
                     }
                 });
             }
@@ -73,6 +76,14 @@
         self.state.0.lock().expect("no stub panics").calls.clone()
     }
 
+    /// Waits until that version has been written to somebody's connection, whether it is read or not.
+    pub fn await_told(&self, version: u64) {
+        let told = format!("\"index\":{version},");
+        let written =
+            || self.state.0.lock().expect("no stub panics").answers.iter().any(|a| a.contains(&told));
+        await_that("the news is written", written);
+    }
+
     /// Waits until a watch for news after `version` is open: what came before has then been taken in.
     pub fn await_watch(&self, version: u64) {
         let call = format!("after={version}&");
--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -123,6 +123,15 @@
         self.signal("-HUP");
     }
 
+    /// Stops the process until it is told to go on.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        let state = format!("/proc/{}/stat", self.process.id());
+        await_that("it has stopped", || {
+            std::fs::read_to_string(&state).is_ok_and(|line| line.contains("(tinflow) T "))
+        });
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.process.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
