Learn nothing of a new process from attempts at the one before it

Cause: choice.rs, ended, counted the end of every attempt for its endpoint. Where the list told of a new process while attempts were out at the old one (a machine that vanished, a hang), their time-outs and resets came after list.rs had cleared what was known, and opened the circuit of the new process.

Change: an attempt in flight keeps the start of the process that it went to; its end is learnt from only while that is still the one there. The request itself goes on as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -122,8 +122,8 @@
         self.turn_to(now, endpoint);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (e, attempt) = (&mut self.endpoints[endpoint], request.attempts.len() as AttemptNo);
-        let (class, work) = (request.class, request.work);
-        e.flights.push(Flight { request: id, attempt, class, work, sent: now, ..Flight::default() });
+        let (class, work, started) = (request.class, request.work, e.started);
+        e.flights.push(Flight { request: id, attempt, class, work, sent: now, started, ..Flight::default() });
         (e.last_sent, e.cold_at, e.cold_credit) = (now, now, credit - work);
         self.fleet.retries -= f64::from(attempt > 0);
         self.fleet.trials -= f64::from(e.gate() != Circuit::Closed);
@@ -139,7 +139,10 @@
         let Some(Endpoint { flights, .. }) = self.endpoints.get_mut(end.endpoint) else { return };
         let of_it = |f: &Flight| (f.request, f.attempt) == (id, end.attempt);
         let Some(flight) = flights.iter().position(of_it).map(|i| flights.swap_remove(i)) else { return };
-        self.learn(now, end, &flight, out);
+        // What became of an attempt at a process that has been replaced says nothing of the new one.
+        if self.endpoints[end.endpoint].started == flight.started {
+            self.learn(now, end, &flight, out);
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let ended = &mut request.attempts[end.attempt as usize];
         (ended.live, ended.may_have_run) = (false, !end.outcome.never_ran());
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -22,6 +22,8 @@
     pub class: ClassId,
     pub work: f64,
     pub sent: Micros,
+    /// The start of the process that it went to, as far as it was known.
+    pub started: Option<Micros>,
     pub streaming: bool,
     /// Others were told that it is late.
     pub told: bool,
--- a/tests/sidecar/handovers.rs
+++ b/tests/sidecar/handovers.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// One attempt, and much time to make its connection.
 fn one_try(config: String) -> String {
@@ -74,3 +75,23 @@
     assert_eq!(read_message(&mut client).expect("an answer").status(), 503, "known not to have run");
     assert_eq!(endpoint.requests(), 0);
 }
+
+// What became of a request at the process before says nothing of the one that was started in its place.
+#[test]
+fn what_breaks_at_the_process_before_is_not_held_against_the_new_one() {
+    let (discovery, old) = (Discovery::start(), Holding::start());
+    // With short aims what is known fades within a second, and one failure opens the circuit.
+    let short = |config: String| config.replace("\"AimUs\":8000000", "\"AimUs\":100000");
+    let sidecar = Sidecar::start_altered(&discovery, &[("s-1", &old.endpoint)], 1024, short);
+    let mut client = sidecar.connect();
+    client.write_all(request("book", "", "{}").as_bytes()).expect("the sidecar takes it");
+    old.await_request();
+    std::thread::sleep(Duration::from_millis(1500));
+    let new = Endpoint::start(|_| ok("by the new process"));
+    let listed = list(2, false, &[("s-1", new.address, "active")]);
+    discovery.publish(2, listed.replace("\"since_ms\":0", "\"since_ms\":1700000000000"));
+    discovery.await_watch(2);
+    old.close();
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 502);
+    assert_eq!(sidecar.ask(&request("look", "", "")).expect("an answer").body, b"by the new process");
+}
