Look at what has come before a timer is acted on: an answer that was there goes first

Cause: the engine fired its timers after each input, though answers waited behind that input, and as a timer woke it, though the sockets had not been looked at: a process that was held up (epoll_wait is interrupted by a stop) finds its timers due first. The same holds for an attempt's time-out in upstream.rs. The request then failed over its answer.

Change: the engine takes the inputs that are there before its timers, by their number at that moment, so that a stream of them holds up nothing; it and an attempt whose time has ended give the sockets one turn first. What goes out is not concerned: what is not wholly written by its time is given up without that turn.

--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -25,7 +25,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::Instant;
 
 /// Log lines about bad input from outside: one in this time.
@@ -109,16 +109,20 @@
     /// Runs for good.
     pub async fn run(mut self) {
         loop {
-            let timer = self.timers.wait();
             tokio::select! {
                 biased;
                 input = self.inputs.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
                 },
-                () = timer => {}
+                // A process that was held up may not have looked yet at what came before the timer was due.
+                () = self.timers.wait() => yield_now().await,
+            }
+            // Inputs that are there go first, and a stream of them can't hold up the timers.
+            for _ in 0..self.inputs.len() {
+                let Ok(input) = self.inputs.try_recv() else { break };
+                self.take(input);
             }
-            // Also after inputs, so that a stream of them can't hold up the timers.
             self.fire_timers();
         }
     }
@@ -211,12 +215,8 @@
                 spawn_local(upstream.probe(endpoint, inputs));
             }
             Action::SetTimer { after, token } => self.timers.set(after, token),
-            Action::Subscribe(on) => {
-                let _ = self.asks.send(if on { Ask::Watch } else { Ask::StopWatch });
-            }
-            Action::FetchList => {
-                let _ = self.asks.send(Ask::Fetch);
-            }
+            Action::Subscribe(on) => drop(self.asks.send(if on { Ask::Watch } else { Ask::StopWatch })),
+            Action::FetchList => drop(self.asks.send(Ask::Fetch)),
             Action::CloseIdle(endpoint) => self.pool.endpoint(endpoint).close_idle(),
             Action::Tell { to, bytes } => {
                 if let Some(peers) = &self.peers {
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -74,7 +74,13 @@
         if !meter.complete() {
             return plain(Outcome::ConnectFailed);
         }
-        // An answer that is there as the time ends still counts.
+        tokio::select! {
+            biased;
+            reply = exchange.as_mut() => return reply,
+            () = sleep_until(times.until) => {}
+        }
+        // An answer that has come by then counts, also where a process that was held up has not looked at it yet.
+        yield_now().await;
         let reply = timeout_at(times.until, exchange).await;
         reply.unwrap_or(plain(Outcome::TimedOut))
     }
--- a/tests/sidecar/handovers.rs
+++ b/tests/sidecar/handovers.rs
@@ -76,6 +76,24 @@
     assert_eq!(endpoint.requests(), 0);
 }
 
+// The answer has come, and then the time of the attempt ran out, before either was seen: it is an answer.
+#[test]
+fn an_answer_that_came_while_the_process_was_stopped_counts_though_its_time_is_over() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| Reply::Later(Duration::from_millis(500), b"in time".to_vec()));
+    // Two ticks before its client stops waiting the module does.
+    let long_tick = |config: String| config.replace("\"TickUs\":5000", "\"TickUs\":5000000");
+    let sidecar = Sidecar::start_altered(&discovery, &[("s-1", &endpoint)], 1024, long_tick);
+    let mut client = sidecar.connect();
+    let short = request("book", "", "{}").replace("19000m", "12000m");
+    client.write_all(short.as_bytes()).expect("the sidecar takes it");
+    await_that("the request is out", || endpoint.requests() == 1);
+    sidecar.stop();
+    std::thread::sleep(Duration::from_millis(2500));
+    sidecar.signal("-CONT");
+    assert_eq!(read_message(&mut client).expect("an answer").body, b"in time");
+}
+
 // What became of a request at the process before says nothing of the one that was started in its place.
 #[test]
 fn what_breaks_at_the_process_before_is_not_held_against_the_new_one() {
@@ -95,3 +113,47 @@
     assert_eq!(read_message(&mut client).expect("an answer").status(), 502);
     assert_eq!(sidecar.ask(&request("look", "", "")).expect("an answer").body, b"by the new process");
 }
+
+/// The first back-off lasts from two to three seconds.
+fn long_backoff(config: String) -> String {
+    config.replace("\"AimUs\":8000000", "\"AimUs\":128000000")
+}
+
+/// Then it is surely over.
+const BACKOFF_OVER: Duration = Duration::from_millis(4000);
+
+#[test]
+fn a_client_that_leaves_in_the_back_off_is_not_sent_on() {
+    let (discovery, first) = (Discovery::start(), Holding::start());
+    let second = Endpoint::start(|_| ok("too late"));
+    let sidecar = Sidecar::start_altered(&discovery, &[("s-1", &first.endpoint)], 1024, long_backoff);
+    let mut client = sidecar.connect();
+    client.write_all(request("look", "", "").as_bytes()).expect("the sidecar takes it");
+    first.await_request();
+    discovery.publish(2, list(2, false, &[("s-2", second.address, "active")]));
+    discovery.await_watch(2);
+    first.close();
+    await_that("the first attempt has broken off", || first.endpoint.requests() == 1);
+    client.shutdown(Shutdown::Both).expect("it closes");
+    std::thread::sleep(BACKOFF_OVER);
+    assert_eq!((first.endpoint.requests(), second.requests()), (1, 0));
+}
+
+#[test]
+fn an_endpoint_that_leaves_in_the_back_off_gets_no_repeat() {
+    let (discovery, first) = (Discovery::start(), Holding::start());
+    let second = Endpoint::start(|_| ok("too late"));
+    let sidecar = Sidecar::start_altered(&discovery, &[("s-1", &first.endpoint)], 1024, long_backoff);
+    let mut client = sidecar.connect();
+    client.write_all(request("look", "", "").as_bytes()).expect("the sidecar takes it");
+    first.await_request();
+    discovery.publish(2, list(2, false, &[("s-2", second.address, "active")]));
+    discovery.await_watch(2);
+    first.close();
+    await_that("the first attempt has broken off", || first.endpoint.requests() == 1);
+    let gone = [("s-1", first.endpoint.address, "leaving"), ("s-2", second.address, "left")];
+    discovery.publish(3, list(3, false, &gone));
+    discovery.await_watch(3);
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 503);
+    assert_eq!((first.endpoint.requests(), second.requests()), (1, 0));
+}
