--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -18,14 +18,14 @@
 use crate::product::{Fleet, Observer, State};
 use crate::report::say;
 use crate::spaced::{Spaced, left_out};
-use crate::upstream::Upstream;
+use crate::upstream::{Times, Upstream};
 use linenproxy::{Action, Balancer, Discovery, Event, ListUpdate, Micros, RequestId};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::Instant;
 
 /// Log lines about bad input from outside: one in this time.
@@ -110,16 +110,20 @@
     /// Runs for good.
     pub async fn run(mut self) {
         loop {
-            let timer = self.timers.wait();
             tokio::select! {
                 biased;
                 input = self.inputs.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
                 },
-                () = timer => {}
+                // A process that was held up may not have looked yet at what came before the timer was due.
+                () = self.timers.wait() => yield_now().await,
+            }
+            // Inputs that are there go first, and a stream of them can't hold up the timers.
+            for _ in 0..self.inputs.len() {
+                let Ok(input) = self.inputs.try_recv() else { break };
+                self.take(input);
             }
-            // Also after inputs, so that a stream of them can't hold up the timers.
             self.fire_timers();
         }
     }
@@ -189,16 +193,22 @@
         self.events.push_back(event);
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
-            self.balancer.handle(self.clock.now(), event, &mut actions);
+            let now = self.clock.now();
+            self.balancer.handle(now, event, &mut actions);
             for action in actions.drain(..) {
-                self.act(action);
+                self.act(now, action);
             }
         }
     }
 
-    fn act(&mut self, action: Action) {
+    /// Carries out what the module asked for at `now`.
+    fn act(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { request, endpoint, timeout } => self.send(request, endpoint, timeout),
+            Action::Send { request, endpoint, timeout, write_by } => {
+                let [write_by, until] =
+                    [write_by, now.saturating_add(timeout)].map(|t| self.clock.instant(t));
+                self.send(request, endpoint, Times { write_by, until });
+            }
             Action::Refuse { request, hold_off } => self.open.answer(request, Answer::Refused(hold_off)),
             Action::Fail(request) => self.open.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
@@ -209,12 +219,8 @@
                 spawn_local(upstream.probe(endpoint, inputs));
             }
             Action::SetTimer { after, token } => self.timers.set(after, token),
-            Action::Subscribe(on) => {
-                let _ = self.asks.send(if on { Ask::Watch } else { Ask::StopWatch });
-            }
-            Action::FetchList => {
-                let _ = self.asks.send(Ask::Fetch);
-            }
+            Action::Subscribe(on) => drop(self.asks.send(if on { Ask::Watch } else { Ask::StopWatch })),
+            Action::FetchList => drop(self.asks.send(Ask::Fetch)),
             Action::CloseIdle(endpoint) => self.pool.endpoint(endpoint).close_idle(),
             Action::Tell { to, bytes } => {
                 if let Some(peers) = &self.peers {
@@ -230,14 +236,16 @@
         }
     }
 
-    fn send(&mut self, request: RequestId, endpoint: usize, timeout: Micros) {
+    fn send(&mut self, request: RequestId, endpoint: usize, times: Times) {
         // The module holds no request that is not held here: both learn of every end in the same turn.
         let Some((attempt, outgoing)) = self.open.next(request, self.listed.name(endpoint)) else { return };
+        let to = self.pool.endpoint(endpoint);
+        // What was decided holds for the process that is there now.
         let attempting = Rc::clone(&self.upstream).attempt(
             (request, attempt),
-            self.pool.endpoint(endpoint),
+            (to.target(), to),
             outgoing,
-            timeout,
+            times,
             self.sender.clone(),
         );
         let task = spawn_local(attempting).abort_handle();
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -2,16 +2,18 @@
 
 use crate::connection::Meter;
 use crate::messages::{Ended, Input, Inputs, LONGEST_BODY, Outgoing, Served, TIME_LEFT};
-use crate::pool::{Endpoint, Pool};
+use crate::pool::{Endpoint, Pool, Target};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use linenproxy::{AttemptNo, Load, Micros, Outcome, RequestId};
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// How long a probe may take.
 const PROBE_TIME: Duration = Duration::from_secs(1);
@@ -20,6 +22,17 @@
 const BACKEND_LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
 type Reply = (Outcome, Option<Served>, Load);
+/// The process that an attempt is meant for, and its endpoint as it is now.
+type To<'a> = (Target, &'a Endpoint);
+
+/// Until when an attempt may do what.
+#[derive(Clone, Copy)]
+pub struct Times {
+    /// Its last byte is out by then, or never goes out.
+    pub write_by: Instant,
+    /// Then it is given up.
+    pub until: Instant,
+}
 
 /// What makes attempts, over the connections of a pool.
 pub struct Upstream {
@@ -36,41 +49,66 @@
     pub async fn attempt(
         self: Rc<Self>,
         (request, attempt): (RequestId, AttemptNo),
-        endpoint: Rc<Endpoint>,
+        (target, endpoint): (Option<Target>, Rc<Endpoint>),
         outgoing: Rc<Outgoing>,
-        time: Micros,
+        times: Times,
         inputs: Inputs,
     ) {
-        let until = Instant::now() + Duration::from_micros(time.max(0).unsigned_abs());
-        let meter = Meter::new(outgoing.body.len());
-        let reply = timeout_at(until, self.exchange(&endpoint, &outgoing, &meter, until)).await;
-        // What has not wholly been written never began, whoever gave up first.
-        let (outcome, served, load) = reply.unwrap_or_else(|_| {
-            (if meter.complete() { Outcome::TimedOut } else { Outcome::ConnectFailed }, None, Load::default())
-        });
+        let (outcome, served, load) = match target {
+            Some(target) => self.within(times, (target, &endpoint), &outgoing).await,
+            None => plain(Outcome::NotSent),
+        };
         inputs.send(Input::Ended(Ended { request, attempt, outcome, served, load }));
     }
 
-    async fn exchange(&self, endpoint: &Endpoint, out: &Outgoing, meter: &Meter, until: Instant) -> Reply {
-        let plain = |outcome| (outcome, None, Load::default());
+    /// An exchange inside its times.
+    async fn within(&self, times: Times, to: To<'_>, out: &Outgoing) -> Reply {
+        let meter = Meter::new(out.body.len());
+        let mut exchange = pin!(self.exchange(to, out, &meter, times));
+        tokio::select! {
+            biased;
+            () = sleep_until(times.write_by) => {}
+            reply = exchange.as_mut() => return reply,
+        }
+        // What has not wholly been written never began, and is not to begin any more.
+        if !meter.complete() {
+            return plain(Outcome::ConnectFailed);
+        }
+        tokio::select! {
+            biased;
+            reply = exchange.as_mut() => return reply,
+            () = sleep_until(times.until) => {}
+        }
+        // An answer that has come by then counts, also where a process that was held up has not looked at it yet.
+        yield_now().await;
+        let reply = timeout_at(times.until, exchange).await;
+        reply.unwrap_or(plain(Outcome::TimedOut))
+    }
+
+    async fn exchange(&self, to: To<'_>, out: &Outgoing, meter: &Meter, times: Times) -> Reply {
+        let (target, endpoint) = to;
         loop {
-            let Some(address) = endpoint.target() else { return plain(Outcome::ConnectFailed) };
+            if let Some(outcome) = barred(to, out, times) {
+                return plain(outcome);
+            }
             let (mut connection, permit, reused) = match self.pool.reuse(endpoint) {
                 Some((connection, permit)) => (connection, permit, true),
-                None => match self.pool.dial(address).await {
-                    Some((connection, permit)) => (connection, permit, false),
+                None => match self.pool.dial(target.address).await {
+                    Some((mut connection, permit)) => {
+                        // Made ready to write at once, and then what has come meanwhile is heard first: a client's
+                        // leaving, the list.
+                        connection.turn().await;
+                        yield_now().await;
+                        (connection, permit, false)
+                    }
                     None => return plain(Outcome::ConnectFailed),
                 },
             };
-            // While it was dialled the endpoint may have been told to leave or have moved, and the request may
-            // have been answered: nothing is to be written then.
-            if endpoint.target() != Some(address) {
-                return plain(Outcome::ConnectFailed);
+            // It may have changed while it was dialled.
+            if let Some(outcome) = barred(to, out, times) {
+                return plain(outcome);
             }
-            if out.settled.get() {
-                return plain(Outcome::NotSent);
-            }
-            let Some(request) = out.request(until) else { return plain(Outcome::NotSent) };
+            let Some(request) = out.request(times.until) else { return plain(Outcome::NotSent) };
             let Ok(response) = connection.request(request, meter.clone()).await else {
                 // Closed by the endpoint in the moment it was taken up again, before anything was written.
                 if reused && !meter.begun() {
@@ -84,7 +122,7 @@
             let load = head.headers.get(BACKEND_LOAD).map(read_load).unwrap_or_default();
             let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
             if whole {
-                self.pool.park(endpoint, address, connection, permit).await;
+                self.pool.park(endpoint, target, connection, permit).await;
             }
             return match (head.status, body) {
                 (StatusCode::OK, Some(Ok(body))) => {
@@ -95,7 +133,10 @@
                     (Outcome::Error, None, load)
                 }
                 (StatusCode::OK, _) => (Outcome::Reset, None, load),
-                (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if unprocessed => {
+                // One that breaks off can't be read as what it promises to be.
+                (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, Some(Ok(_)))
+                    if unprocessed =>
+                {
                     (Outcome::Rejected, None, load)
                 }
                 _ => (Outcome::Error, None, load),
@@ -111,21 +152,39 @@
         let uri = Uri::from_static("/alive");
         let outgoing =
             Outgoing { method: Method::GET, uri, headers, body: Bytes::new(), settled: Cell::new(false) };
-        let (until, meter) = (start + PROBE_TIME, Meter::new(0));
-        let reply = timeout_at(until, self.exchange(&endpoint, &outgoing, &meter, until)).await;
-        let (outcome, _, load) = reply.unwrap_or((Outcome::TimedOut, None, Load::default()));
+        let until = start + PROBE_TIME;
+        let (outcome, _, load) = match endpoint.target() {
+            Some(target) => {
+                self.within(Times { write_by: until, until }, (target, &endpoint), &outgoing).await
+            }
+            None => plain(Outcome::ConnectFailed),
+        };
         let took = Micros::try_from(start.elapsed().as_micros()).unwrap_or(Micros::MAX);
         inputs.send(Input::Probed(id, outcome, took, load));
     }
 }
 
+fn plain(outcome: Outcome) -> Reply {
+    (outcome, None, Load::default())
+}
+
+/// How an attempt ends that must not begin any more: its request has its answer, the process that it was meant for
+/// has been told to leave, has moved or been replaced, or its time is over.
+fn barred((target, endpoint): To<'_>, out: &Outgoing, times: Times) -> Option<Outcome> {
+    if out.settled.get() || endpoint.target() != Some(target) {
+        return Some(Outcome::NotSent);
+    }
+    (Instant::now() >= times.write_by).then_some(Outcome::ConnectFailed)
+}
+
 impl Outgoing {
     fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_micros();
+        // No time at all is no figure that an endpoint could keep to.
+        let left = until.saturating_duration_since(Instant::now()).as_micros().max(1);
         request.headers_mut().insert(TIME_LEFT, HeaderValue::from_str(&format!("{left}u")).ok()?);
         Some(request)
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -118,18 +118,20 @@
         }
         let timeout = self.timeout(now, request, endpoint);
         let credit = self.cold_credit(now, &self.endpoints[endpoint]);
+        let write_by = now.saturating_add(timeout).min(self.repeat_by(request));
         self.turn_to(now, endpoint);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (e, attempt) = (&mut self.endpoints[endpoint], request.attempts.len() as AttemptNo);
-        let (class, work) = (request.class, request.work);
-        e.flights.push(Flight { request: id, attempt, class, work, sent: now, ..Flight::default() });
+        let (class, work, started) = (request.class, request.work, e.started);
+        e.flights.push(Flight { request: id, attempt, class, work, sent: now, started, ..Flight::default() });
         (e.last_sent, e.cold_at, e.cold_credit) = (now, now, credit - work);
         self.fleet.retries -= f64::from(attempt > 0);
         self.fleet.trials -= f64::from(e.gate() != Circuit::Closed);
         self.queue.remove(&request.place(id));
-        request.attempts.push(Attempt { endpoint, sent: now, live: true, may_have_run: true });
+        let (zone, cell) = (e.zone, e.cell);
+        request.attempts.push(Attempt { endpoint, zone, cell, sent: now, live: true, may_have_run: true });
         request.state = State::Sent;
-        out.push(Action::Send { request: id, endpoint, timeout });
+        out.push(Action::Send { request: id, endpoint, timeout, write_by });
     }
 
     fn ended(&mut self, now: Micros, end: AttemptEnd, out: &mut Vec<Action>) {
@@ -137,7 +139,10 @@
         let Some(Endpoint { flights, .. }) = self.endpoints.get_mut(end.endpoint) else { return };
         let of_it = |f: &Flight| (f.request, f.attempt) == (id, end.attempt);
         let Some(flight) = flights.iter().position(of_it).map(|i| flights.swap_remove(i)) else { return };
-        self.learn(now, end, &flight, out);
+        // What became of an attempt at a process that has been replaced says nothing of the new one.
+        if self.endpoints[end.endpoint].started == flight.started {
+            self.learn(now, end, &flight, out);
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let ended = &mut request.attempts[end.attempt as usize];
         (ended.live, ended.may_have_run) = (false, !end.outcome.never_ran());
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,10 +4,14 @@
 mod stubs;
 
 mod connections;
+mod cuts;
+mod extremes;
+mod handovers;
 mod list_forms;
 mod lists;
 mod moves;
 mod odd_lists;
+mod repeats;
 mod requests;
 mod starting;
 mod stopping;
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -5,12 +5,16 @@
 mod agent;
 mod discovery;
 mod endpoint;
+mod held;
+mod holding;
 mod message;
 mod sidecar;
 
 pub use agent::*;
 pub use discovery::*;
 pub use endpoint::*;
+pub use held::*;
+pub use holding::*;
 pub use message::*;
 pub use sidecar::*;
 use std::net::{SocketAddr, TcpListener};
