--- a/src/bin/tinflow/connection.rs
+++ b/src/bin/tinflow/connection.rs
@@ -1,8 +1,9 @@
-//! One HTTP/1.1 connection, and how much of a request its socket has taken. Changes with how a connection is driven.
+//! One HTTP/1.1 connection. Changes with how a connection is driven.
 //!
 //! A connection carries one request at a time and is driven by whoever uses it, so that giving up an attempt
 //! (dropping its future) closes the connection, and nothing is written behind an attempt's back.
 
+pub use crate::meter::Meter;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -10,7 +11,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
@@ -24,56 +25,6 @@
 /// Longest head of an answer.
 const LONGEST_HEAD: usize = 64 << 10;
 
-/// How much of a request the socket has taken. An endpoint begins one when its last byte has come, so until
-/// that is written it has surely not run.
-#[derive(Clone, Default)]
-pub struct Meter(Rc<MeterState>);
-
-#[derive(Default)]
-struct MeterState {
-    /// Bytes of the blank line that ends the head seen so far, 4 once the head is out.
-    head_end: Cell<u8>,
-    body_left: Cell<usize>,
-    begun: Cell<bool>,
-}
-
-impl Meter {
-    /// For a request with a body of that length.
-    pub fn new(body: usize) -> Self {
-        let meter = Self::default();
-        meter.0.body_left.set(body);
-        meter
-    }
-
-    /// The socket has taken these bytes.
-    fn count(&self, bytes: &[u8]) {
-        let state = &self.0;
-        state.begun.set(true);
-        let mut bytes = bytes.iter();
-        while state.head_end.get() < 4 {
-            let Some(&byte) = bytes.next() else { return };
-            let seen = state.head_end.get();
-            state.head_end.set(match byte {
-                b'\r' if seen == 2 => 3,
-                b'\r' => 1,
-                b'\n' if seen == 1 || seen == 3 => seen + 1,
-                _ => 0,
-            });
-        }
-        state.body_left.set(state.body_left.get().saturating_sub(bytes.len()));
-    }
-
-    /// Some byte is out.
-    pub fn begun(&self) -> bool {
-        self.0.begun.get()
-    }
-
-    /// The last byte is out.
-    pub fn complete(&self) -> bool {
-        self.0.head_end.get() == 4 && self.0.body_left.get() == 0
-    }
-}
-
 /// A socket that tells a meter what is written, and that can be looked at while a connection holds it.
 struct MeteredStream {
     stream: Rc<TcpStream>,
@@ -207,44 +158,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::time::Duration;
-
-    // An endpoint begins a request when its last byte has come: one byte short it has surely not run.
-    #[test]
-    fn a_meter_tells_the_last_byte_from_the_one_before() {
-        let request = b"POST /api HTTP/1.1\r\nA: b\r\n\r\n{\r\n\r\n}";
-        for cut in 1..request.len() {
-            let meter = Meter::new(6);
-            assert!(!meter.begun());
-            meter.count(&request[..cut]);
-            assert!(meter.begun() && !meter.complete(), "after {cut}");
-            meter.count(&request[cut..]);
-            assert!(meter.complete());
-        }
-        let meter = Meter::new(0);
-        meter.count(b"GET / HTTP/1.1\r\n\r");
-        assert!(!meter.complete());
-        meter.count(b"\n");
-        assert!(meter.complete());
-    }
-
-    // What the runtime has not polled yet it does not know: a request would go out on a connection that its
-    // peer has closed, and end as a reset.
-    #[tokio::test]
-    async fn a_connection_closed_a_moment_ago_is_not_used_again() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let connection = Connection::open(address).await.expect("it connects");
-        let (peer, _) = listener.accept().expect("a connection");
-        assert!(connection.usable());
-        drop(peer);
-        // Without giving the runtime a turn.
-        let until = std::time::Instant::now() + Duration::from_secs(30);
-        while connection.usable() {
-            assert!(std::time::Instant::now() < until, "a closed connection still passes for usable");
-            std::thread::sleep(Duration::from_millis(1));
-        }
-    }
-}
+mod tests;
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -26,6 +26,7 @@
 mod kept;
 mod listed;
 mod messages;
+mod meter;
 #[cfg(feature = "product")]
 mod observer;
 mod open;
--- /dev/null
+++ b/src/bin/tinflow/meter.rs
@@ -0,0 +1,57 @@
+//! How much of a request a socket has taken. Changes with what tells that a request has surely not run.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// How much of a request the socket has taken. An endpoint begins one when its last byte has come, so until
+/// that is written it has surely not run.
+#[derive(Clone, Default)]
+pub struct Meter(Rc<MeterState>);
+
+#[derive(Default)]
+struct MeterState {
+    /// Bytes of the blank line that ends the head seen so far, 4 once the head is out.
+    head_end: Cell<u8>,
+    body_left: Cell<usize>,
+    begun: Cell<bool>,
+}
+
+impl Meter {
+    /// For a request with a body of that length.
+    pub fn new(body: usize) -> Self {
+        let meter = Self::default();
+        meter.0.body_left.set(body);
+        meter
+    }
+
+    /// The socket has taken these bytes.
+    pub fn count(&self, bytes: &[u8]) {
+        let state = &self.0;
+        state.begun.set(true);
+        let mut bytes = bytes.iter();
+        while state.head_end.get() < 4 {
+            let Some(&byte) = bytes.next() else { return };
+            let seen = state.head_end.get();
+            state.head_end.set(match byte {
+                b'\r' if seen == 2 => 3,
+                b'\r' => 1,
+                b'\n' if seen == 1 || seen == 3 => seen + 1,
+                _ => 0,
+            });
+        }
+        state.body_left.set(state.body_left.get().saturating_sub(bytes.len()));
+    }
+
+    /// Some byte is out.
+    pub fn begun(&self) -> bool {
+        self.0.begun.get()
+    }
+
+    /// The last byte is out.
+    pub fn complete(&self) -> bool {
+        self.0.head_end.get() == 4 && self.0.body_left.get() == 0
+    }
+}
+
+#[cfg(test)]
+mod tests;
