Force answers that are cut, endless or doubled, and connections that come up late

Need: these pairs of events were read as right, and had no test with real connections. Fifteen forms of an answer (with a length, without, in chunks, of the older version; ended by a close or by a reset), seven that never end, what comes behind an answer, a request that its endpoint does not take, a connection that comes up late and one that does too late. A stub endpoint may now do with a connection whatever a test wants.

--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -3,7 +3,9 @@
 #[path = "../stubs/mod.rs"]
 mod stubs;
 
+mod answers;
 mod connections;
+mod dials;
 mod lists;
 mod requests;
 mod starting;
--- a/tests/stubs/endpoint.rs
+++ b/tests/stubs/endpoint.rs
@@ -1,6 +1,8 @@
 //! A stub endpoint.
 
 use super::message::{Message, answer, read_message};
+use socket2::SockRef;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -19,6 +21,30 @@
     Silence,
     /// It closes the connection.
     Close,
+    /// What the test does with the connection, and what becomes of it then.
+    By(Box<dyn FnOnce(&mut TcpStream) -> Then + Send>),
+}
+
+/// What becomes of a connection.
+pub enum Then {
+    /// It serves the next request.
+    KeepOn,
+    /// It ends as it should.
+    Close,
+    /// It is reset.
+    Reset,
+}
+
+impl Reply {
+    /// These bytes, and what becomes of the connection then.
+    pub fn bytes(bytes: impl Into<Vec<u8>>, then: Then) -> Self {
+        let bytes = bytes.into();
+        Self::By(Box::new(move |stream| {
+            // The sidecar may have given up on it.
+            let _ = stream.write_all(&bytes);
+            then
+        }))
+    }
 }
 
 /// An endpoint that notes what reaches it.
@@ -80,7 +106,17 @@
             }
             Reply::Silence => {}
             Reply::Close => return,
+            Reply::By(act) => match act(&mut stream) {
+                Then::KeepOn => {}
+                Then::Close => return,
+                Then::Reset => return reset(&stream),
+            },
         }
     }
     closed.fetch_add(1, Ordering::SeqCst);
 }
+
+/// Has the connection end as a reset once it is dropped.
+fn reset(stream: &TcpStream) {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("it can linger for no time");
+}
