Take no answer that came before its request was written, and end the connection

Cause: `Connection::request` returned whatever head came first, also between the first byte of a request and the last. An endpoint begins a request when its last byte has come, so that can be no answer to it: it was served as one. The connection went back to the pool with the rest of the request unwritten (`Pool::park` asked for a whole answer, not for a whole request), and the rest would have gone out in front of the next request, and had it run, after it had been given up. Ruled out: that the meter counts wrongly; it was asked only where the connection broke.

Change: the meter notes that the peer spoke between the first byte and the last. Such an attempt ends as on a lost connection: never ran unless the last byte is out, and the connection is dropped.

Measured: the test fails without the change: the client gets "early" with 200 where "served" comes with it.

--- a/src/bin/tinflow/connection.rs
+++ b/src/bin/tinflow/connection.rs
@@ -38,6 +38,7 @@
             match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(length) => {
                     buf.advance(length);
+                    self.meter.borrow().heard();
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -100,20 +101,21 @@
         !self.ended && quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. What the peer says before the request is wholly written
+    /// can be no answer to it: the connection is not to be used on, and what is left of the request not to go out.
     pub async fn request(
         &mut self,
         request: Request<Full<Bytes>>,
         meter: Meter,
     ) -> Result<Response<Incoming>, &'static str> {
-        *self.meter.borrow_mut() = meter;
+        *self.meter.borrow_mut() = meter.clone();
         let Self { sender, driver, ended, .. } = self;
         let answer = async {
             sender.ready().await?;
             sender.send_request(request).await
         };
         match drive(driver, ended, answer).await {
-            Some(Ok(response)) => Ok(response),
+            Some(Ok(response)) if !meter.interrupted() => Ok(response),
             _ => Err("connection lost"),
         }
     }
--- a/src/bin/tinflow/meter.rs
+++ b/src/bin/tinflow/meter.rs
@@ -14,6 +14,7 @@
     head_end: Cell<u8>,
     body_left: Cell<usize>,
     begun: Cell<bool>,
+    interrupted: Cell<bool>,
 }
 
 impl Meter {
@@ -42,6 +43,18 @@
         state.body_left.set(state.body_left.get().saturating_sub(bytes.len()));
     }
 
+    /// The peer has said something.
+    pub fn heard(&self) {
+        if self.begun() && !self.complete() {
+            self.0.interrupted.set(true);
+        }
+    }
+
+    /// The peer has said something between the first byte and the last.
+    pub fn interrupted(&self) -> bool {
+        self.0.interrupted.get()
+    }
+
     /// Some byte is out.
     pub fn begun(&self) -> bool {
         self.0.begun.get()
--- a/tests/sidecar/answers.rs
+++ b/tests/sidecar/answers.rs
@@ -116,6 +116,35 @@
     rest.len()
 }
 
+// An endpoint begins a request when its last byte has come. What answers before that can be no answer to it, and its
+// last byte must not go out later, in front of the next request.
+#[test]
+fn an_answer_that_comes_before_the_request_is_written_ends_the_attempt_and_the_connection() {
+    for early in [200, 500] {
+        let (discovery, listener) = (Discovery::start(), narrow());
+        let sidecar = Sidecar::start(&discovery, &[]);
+        let address = listener.local_addr().expect("an address");
+        discovery.publish(2, list(2, false, &[("s-1", address, "active")]));
+        discovery.await_watch(2);
+        let stub = thread::spawn(move || {
+            let (mut first, _) = listener.accept().expect("a connection");
+            first.read_exact(&mut [0; 20]).expect("it begins");
+            answer(&mut first, early, "", b"early");
+            // Tried again, it is served.
+            let (mut second, _) = listener.accept().expect("a connection");
+            SockRef::from(&second).set_recv_buffer_size(1 << 20).expect("a size can be set");
+            read_message(&mut second).expect("the whole request");
+            answer(&mut second, 200, "", b"served");
+            first
+        });
+        let whole = request("book", "", &"b".repeat(64 << 10));
+        let served = sidecar.ask(&whole).expect("an answer");
+        assert_eq!((served.status(), served.body), (200, b"served".to_vec()), "known not to have run");
+        let stream = stub.join().expect("no stub panics");
+        assert!(taken(stream) < 64 << 10, "its last byte went out");
+    }
+}
+
 // Only the client's time ends an attempt that the endpoint takes no further. What it did not take never follows.
 #[test]
 fn a_request_that_is_not_taken_to_its_end_ends_in_time() {
