Let a connection rest for 25 ms after an answer before it is used again

Cause: `Connection::usable` looks at the socket when a connection is taken up again. An endpoint's second answer to a request, some milliseconds late, may come after that and after the next request was written, and was served as the answer to it. Nothing in an answer tells whose it is, so looking harder can't help; only time does.

Change: `Pool::reuse` takes the most recently used connection that has rested. What has come by then ends the connection, as before. A request that finds only resting ones goes out on a new one. 25 ms is a small multiple of "some milliseconds"; a longer rest needs more connections.

Measured: the test fails without the change: request 1 gets the answer to request 0.

The test of reuse asked three times at once and wanted one connection. It now waits between them for longer than the rest, and wants the same count.

--- a/src/bin/tinflow/pool.rs
+++ b/src/bin/tinflow/pool.rs
@@ -14,6 +14,11 @@
 /// An idle connection is retired this part of its idle time before the endpoint would close it: a request
 /// written later than that would end as a reset.
 const IDLE_MARGIN: u32 = 8;
+/// A connection rests this long after an answer before it is used again. Some endpoints answer a request twice, the
+/// second time some milliseconds later, and nothing tells that answer from one to the next request. What has come by
+/// the end of the rest ends the connection. Requests that come meanwhile go out on other connections, of which a
+/// longer rest would need more (see the test of what a rest costs).
+const REST: Duration = Duration::from_millis(25);
 
 /// An endpoint as the sockets see it: where it is, whether it may be sent anything, and idle connections.
 #[derive(Default)]
@@ -99,12 +104,15 @@
         }
     }
 
-    /// The most recently used idle connection that is still good: the others may then grow old and close.
+    /// The most recently used idle connection that has rested and is still good: the others may then grow old and
+    /// close.
     pub fn reuse(&self, endpoint: &Endpoint) -> Option<(Connection, OwnedSemaphorePermit)> {
+        let mut idle = endpoint.idle.borrow_mut();
         loop {
-            let idle = endpoint.idle.borrow_mut().pop()?;
-            if idle.since.elapsed() < self.idle_time && idle.connection.usable() {
-                return Some((idle.connection, idle.permit));
+            let rested = last_rested(idle.iter().map(|i| i.since), Instant::now(), REST)?;
+            let taken = idle.remove(rested);
+            if taken.since.elapsed() < self.idle_time && taken.connection.usable() {
+                return Some((taken.connection, taken.permit));
             }
         }
     }
@@ -161,5 +169,14 @@
     }
 }
 
+/// Which of these, that were used last at those times, was used last of all that have rested.
+fn last_rested(
+    mut since: impl DoubleEndedIterator<Item = Instant> + ExactSizeIterator,
+    now: Instant,
+    rest: Duration,
+) -> Option<usize> {
+    since.rposition(|since| now.duration_since(since) >= rest)
+}
+
 #[cfg(test)]
 mod tests;
--- a/tests/sidecar/answers.rs
+++ b/tests/sidecar/answers.rs
@@ -7,12 +7,48 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// How late a second answer may come, which is "some milliseconds": less than a connection rests.
+const SOME_MILLISECONDS: Duration = Duration::from_millis(20);
+
 /// A request of the class that must not run twice, with a number that its answer tells.
 fn numbered(number: usize) -> String {
     request("book", &format!("X-Number: {number}\r\n"), "{}")
 }
 
-// Nothing tells a second answer from one to the next request.
+/// Answers a request with its number, and once more in front of the answer to the next request, if that is written on
+/// the connection before some milliseconds are over.
+fn answer_twice(stream: &mut TcpStream, number: &str) -> Then {
+    let written = Instant::now();
+    answer(stream, 200, "", number.as_bytes());
+    // Until the next request is there, or the connection is closed.
+    let _ = stream.peek(&mut [0]);
+    if written.elapsed() < SOME_MILLISECONDS {
+        answer(stream, 200, "", number.as_bytes());
+    }
+    Then::KeepOn
+}
+
+// Two answers can't be told apart by looking at them: the second one would be served as the answer to whatever
+// request the connection is used for next.
+#[test]
+fn a_second_answer_never_becomes_the_answer_to_the_next_request() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|message| {
+        let number = message.header("x-number").expect("its number").to_owned();
+        Reply::By(Box::new(move |stream| answer_twice(stream, &number)))
+    });
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let mut client = sidecar.connect();
+    for number in 0..20 {
+        client.write_all(numbered(number).as_bytes()).expect("the sidecar takes it");
+        let served = read_message(&mut client).expect("an answer");
+        assert_eq!(served.status(), 200);
+        assert_eq!(String::from_utf8_lossy(&served.body), number.to_string(), "another request's answer");
+    }
+    assert_eq!(endpoint.requests(), 20);
+}
+
+// The same with both in one piece.
 #[test]
 fn what_comes_behind_an_answer_is_none_to_the_next_request() {
     let discovery = Discovery::start();
--- a/tests/sidecar/connections.rs
+++ b/tests/sidecar/connections.rs
@@ -22,8 +22,9 @@
     for headers in ["", "", "X-Last: 1\r\n"] {
         assert_eq!(sidecar.ask(&request("book", headers, "")).expect("an answer").status(), 200);
         assert_eq!(made(), 1);
+        // Longer than a connection rests after an answer.
+        thread::sleep(Duration::from_millis(100));
     }
-    thread::sleep(Duration::from_millis(100));
     assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
     assert_eq!((made(), endpoint.closed()), (2, 0));
     // The sidecar closes it by itself before the endpoint's idle time is over, which is never here.
