Book a want of descriptors against no endpoint

Cause: `Pool::dial` gave `None` for every failure, which `Upstream::exchange` told as a failed connect. Where the process had no permit or no descriptor left (EMFILE), the breaker so opened the circuits of endpoints that had not been asked, and requests were refused for some seconds after there was room again.

Change: `DialError` tells a want of room here (no permit; ENOMEM, ENFILE, EMFILE, ENOBUFS) from an endpoint that can't be reached. The former ends the attempt as not sent: it never ran, and blames nobody. A want of local ports is left with the latter: a process has far fewer descriptors than there are ports to one address.

Measured: the test fails without the change: 503 where 200 comes with it, after four requests without a descriptor.

--- a/src/bin/tinflow/descriptors.rs
+++ b/src/bin/tinflow/descriptors.rs
@@ -1,4 +1,6 @@
-//! How the descriptors of the process are shared out. Changes with who needs some.
+//! How the descriptors of the process are shared out, and how a want of them shows. Changes with who needs some.
+
+use std::io;
 
 /// How many each side may hold.
 #[derive(Clone, Copy)]
@@ -18,6 +20,14 @@
     }
 }
 
+/// What Linux says where the process or the machine has no room for a socket: ENOMEM, ENFILE, EMFILE, ENOBUFS.
+const NO_ROOM: [i32; 4] = [12, 23, 24, 105];
+
+/// Whether the process or its machine lacked something, which says nothing of the peer.
+pub fn lacked(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|code| NO_ROOM.contains(&code))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bin/tinflow/pool.rs
+++ b/src/bin/tinflow/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to endpoints, kept for the next request and bounded. Changes with how long one is kept, and how many are.
 
 use crate::connection::Connection;
+use crate::descriptors::lacked;
 use linenproxy::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -56,6 +57,15 @@
     }
 }
 
+/// Why there is no new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialError {
+    /// There is no room for one here; the endpoint was not asked.
+    NoRoom,
+    /// The endpoint refused it, or it did not come up in time.
+    Unreachable,
+}
+
 /// All endpoints and the bounds on connections to them.
 pub struct Pool {
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
@@ -118,15 +128,18 @@
     }
 
     /// A new connection, where there is room for one.
-    pub async fn dial(&self, address: SocketAddr) -> Option<(Connection, OwnedSemaphorePermit)> {
+    pub async fn dial(&self, address: SocketAddr) -> Result<(Connection, OwnedSemaphorePermit), DialError> {
         let permit = self.permits.clone().try_acquire_owned().or_else(|full| {
             self.close_oldest_idle();
             self.permits.clone().try_acquire_owned().map_err(|_| full)
         });
         // Before the dial: one that has no room must not cost the endpoint a handshake.
-        let permit = permit.ok()?;
-        let connection = timeout(self.dial_timeout, Connection::open(address)).await.ok()?.ok()?;
-        Some((connection, permit))
+        let permit = permit.map_err(|_| DialError::NoRoom)?;
+        match timeout(self.dial_timeout, Connection::open(address)).await {
+            Ok(Ok(connection)) => Ok((connection, permit)),
+            Ok(Err(error)) if lacked(&error) => Err(DialError::NoRoom),
+            Ok(Err(_)) | Err(_) => Err(DialError::Unreachable),
+        }
     }
 
     fn close_oldest_idle(&self) {
--- a/src/bin/tinflow/pool/tests.rs
+++ b/src/bin/tinflow/pool/tests.rs
@@ -8,11 +8,11 @@
     let address = listener.local_addr().expect("an address");
     let pool = Pool::new(1, 5_000_000, 10_000_000);
     let (connection, permit) = pool.dial(address).await.expect("there is room");
-    assert!(pool.dial(address).await.is_none());
+    assert!(matches!(pool.dial(address).await, Err(DialError::NoRoom)));
     let endpoint = pool.endpoint(0);
     endpoint.set(Some(address), true);
     pool.park(&endpoint, address, connection, permit).await;
-    assert!(pool.dial(address).await.is_some());
+    assert!(pool.dial(address).await.is_ok());
     // Longer than it would have had to rest.
     tokio::time::sleep(2 * REST).await;
     assert!(pool.reuse(&endpoint).is_none());
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::Meter;
 use crate::messages::{Ended, Input, Inputs, LONGEST_BODY, Outgoing, Served, TIME_LEFT};
-use crate::pool::{Endpoint, Pool};
+use crate::pool::{DialError, Endpoint, Pool};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -58,8 +58,10 @@
             let (mut connection, permit, reused) = match self.pool.reuse(endpoint) {
                 Some((connection, permit)) => (connection, permit, true),
                 None => match self.pool.dial(address).await {
-                    Some((connection, permit)) => (connection, permit, false),
-                    None => return plain(Outcome::ConnectFailed),
+                    Ok((connection, permit)) => (connection, permit, false),
+                    // For want of room here: no endpoint is to blame.
+                    Err(DialError::NoRoom) => return plain(Outcome::NotSent),
+                    Err(DialError::Unreachable) => return plain(Outcome::ConnectFailed),
                 },
             };
             // While it was dialled the endpoint may have been told to leave or have moved, and the request may
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -8,6 +8,7 @@
 mod dials;
 mod lists;
 mod requests;
+mod room;
 mod starting;
 mod stopping;
 
