Use no connection to a process that made way for another at the same address

Cause: `Endpoint::set` closed idle connections when the address changed, not when the listed start did. A machine that vanishes says nothing on its connections and resets them once it is back: a request written on one ended as a reset, may have run for all that can be told, and failed where it may not be repeated.

Change: the list's `since_ms` goes along to the pool. Connections that came up before the start of the listed process are closed, and not kept after an answer either; those that came up after it stay, as the news may come late. A start that is yet to come counts as now. What is released or no longer listed keeps no connection for who still holds it.

Measured: the test fails without the change: 502 on the one connection, where 200 comes on a second one. A further test holds that connections made after the start are kept.

--- a/src/bin/tinflow/connection.rs
+++ b/src/bin/tinflow/connection.rs
@@ -19,6 +19,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::SystemTime;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -79,6 +80,7 @@
     ended: bool,
     stream: Rc<TcpStream>,
     meter: Rc<RefCell<Meter>>,
+    made: SystemTime,
 }
 
 impl Connection {
@@ -90,7 +92,12 @@
         let metered = MeteredStream { stream: Rc::clone(&stream), meter: Rc::clone(&meter) };
         let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(TokioIo::new(metered));
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver, ended: false, stream, meter })
+        Ok(Self { sender, driver, ended: false, stream, meter, made: SystemTime::now() })
+    }
+
+    /// When it came up, on the clock that lists go by.
+    pub fn made(&self) -> SystemTime {
+        self.made
     }
 
     /// Whether a request may be written: the peer has neither closed it nor said anything unasked. Asks the
--- a/src/bin/tinflow/listed.rs
+++ b/src/bin/tinflow/listed.rs
@@ -76,7 +76,7 @@
                 (HostStatus::Active, None) | (HostStatus::Leaving, _) => Status::Draining,
                 (HostStatus::Left, _) => Status::Gone,
             };
-            self.pool.endpoint(id).set(host.address, status == Status::Ready);
+            self.pool.endpoint(id).set(host.address, status == Status::Ready, host.since_ms);
             listings.push(Listing {
                 endpoint: id,
                 zone: host.zone.map(|zone| self.zones.id(&zone)),
--- a/src/bin/tinflow/pool.rs
+++ b/src/bin/tinflow/pool.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -26,6 +26,10 @@
 pub struct Endpoint {
     address: Cell<Option<SocketAddr>>,
     ready: Cell<bool>,
+    /// When its process started, as listed.
+    since_ms: Cell<i64>,
+    /// Connections from before this time lead to a process that is gone.
+    started: Cell<Option<SystemTime>>,
     /// The most recently used one is last.
     idle: RefCell<Vec<Idle>>,
 }
@@ -37,13 +41,31 @@
 }
 
 impl Endpoint {
-    /// Follows the list. Idle connections to an address that is no longer in use are closed.
-    pub fn set(&self, address: Option<SocketAddr>, ready: bool) {
+    /// Follows the list. Idle connections to an address that is no longer in use, or to a process that has made way
+    /// for another at the same address, are closed: a machine that vanished has said nothing on them, and a request
+    /// would end as a reset.
+    pub fn set(&self, address: Option<SocketAddr>, ready: bool, since_ms: i64) {
         if self.address.get() != address || !ready {
             self.close_idle();
         }
         self.address.set(address);
         self.ready.set(ready && address.is_some());
+        if self.since_ms.replace(since_ms) != since_ms {
+            self.started.set(Some(start_time(since_ms)));
+            self.idle.borrow_mut().retain(|idle| self.outlives(&idle.connection));
+        }
+    }
+
+    /// No more of it is listed.
+    pub fn unlist(&self) {
+        self.close_idle();
+        self.address.set(None);
+        self.ready.set(false);
+    }
+
+    /// Whether a connection was made to the process that is listed now.
+    fn outlives(&self, connection: &Connection) -> bool {
+        self.started.get().is_none_or(|started| connection.made() >= started)
     }
 
     /// Closes the idle connections.
@@ -101,7 +123,8 @@
     /// The number goes to another endpoint: nothing of the one before it stays.
     pub fn release(&self, id: usize) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
-            *endpoint = Rc::default();
+            // Who still holds it keeps no connection for it either.
+            std::mem::take(endpoint).unlist();
         }
     }
 
@@ -109,7 +132,7 @@
     pub fn keep_only(&self, listed: &HashSet<usize>) {
         for (id, endpoint) in self.endpoints.borrow().iter().enumerate() {
             if !listed.contains(&id) {
-                endpoint.set(None, false);
+                endpoint.unlist();
             }
         }
     }
@@ -160,7 +183,7 @@
         permit: OwnedSemaphorePermit,
     ) {
         connection.turn().await;
-        if endpoint.target() == Some(address) && connection.usable() {
+        if endpoint.target() == Some(address) && endpoint.outlives(&connection) && connection.usable() {
             endpoint.idle.borrow_mut().push(Idle { connection, permit, since: Instant::now() });
             self.parked.notify_one();
         }
@@ -182,6 +205,13 @@
     }
 }
 
+/// When a process started that is listed with this Unix time in milliseconds; one that is yet to come has started now.
+fn start_time(since_ms: i64) -> SystemTime {
+    let since = UNIX_EPOCH.checked_add(Duration::from_millis(since_ms.max(0).unsigned_abs()));
+    let now = SystemTime::now();
+    since.map_or(now, |since| since.min(now))
+}
+
 /// Which of these, that were used last at those times, was used last of all that have rested.
 fn last_rested(
     mut since: impl DoubleEndedIterator<Item = Instant> + ExactSizeIterator,
--- a/src/bin/tinflow/pool/tests.rs
+++ b/src/bin/tinflow/pool/tests.rs
@@ -10,7 +10,7 @@
     let (connection, permit) = pool.dial(address).await.expect("there is room");
     assert!(matches!(pool.dial(address).await, Err(DialError::NoRoom)));
     let endpoint = pool.endpoint(0);
-    endpoint.set(Some(address), true);
+    endpoint.set(Some(address), true, 0);
     pool.park(&endpoint, address, connection, permit).await;
     assert!(pool.dial(address).await.is_ok());
     // Longer than it would have had to rest.
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -8,6 +8,7 @@
 mod dials;
 mod lists;
 mod requests;
+mod restarts;
 mod room;
 mod starting;
 mod stopping;
