Make room for a connection with those that their endpoints have ended first

Cause: an idle connection that its endpoint has closed or spoken on keeps its room until it is next looked at, at most its idle time. `close_oldest_idle` closed the oldest one, which may be good, while ended ones were left.

Change: where there is no room, ended ones make way, and only then the oldest one.

--- a/src/bin/tinflow/pool.rs
+++ b/src/bin/tinflow/pool.rs
@@ -153,7 +153,7 @@
     /// A new connection, where there is room for one.
     pub async fn dial(&self, address: SocketAddr) -> Result<(Connection, OwnedSemaphorePermit), DialError> {
         let permit = self.permits.clone().try_acquire_owned().or_else(|full| {
-            self.close_oldest_idle();
+            self.make_room();
             self.permits.clone().try_acquire_owned().map_err(|_| full)
         });
         // Before the dial: one that has no room must not cost the endpoint a handshake.
@@ -165,8 +165,15 @@
         }
     }
 
-    fn close_oldest_idle(&self) {
+    /// Idle connections make way: those that their endpoints have closed or spoken on, or else the oldest one.
+    fn make_room(&self) {
         let endpoints = self.endpoints.borrow();
+        for endpoint in endpoints.iter() {
+            endpoint.idle.borrow_mut().retain(|i| i.connection.usable());
+        }
+        if self.permits.available_permits() > 0 {
+            return;
+        }
         let oldest =
             endpoints.iter().filter_map(|e| Some((e.idle.borrow().first()?.since, e))).min_by_key(|o| o.0);
         if let Some((_, endpoint)) = oldest {
