--- a/src/bin/tinflow/connection.rs
+++ b/src/bin/tinflow/connection.rs
@@ -1,8 +1,9 @@
-//! One HTTP/1.1 connection, and how much of a request its socket has taken. Changes with how a connection is driven.
+//! One HTTP/1.1 connection. Changes with how a connection is driven.
 //!
 //! A connection carries one request at a time and is driven by whoever uses it, so that giving up an attempt
 //! (dropping its future) closes the connection, and nothing is written behind an attempt's back.
 
+pub use crate::meter::Meter;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -10,7 +11,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
@@ -18,62 +19,13 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::SystemTime;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Longest head of an answer.
 const LONGEST_HEAD: usize = 64 << 10;
 
-/// How much of a request the socket has taken. An endpoint begins one when its last byte has come, so until
-/// that is written it has surely not run.
-#[derive(Clone, Default)]
-pub struct Meter(Rc<MeterState>);
-
-#[derive(Default)]
-struct MeterState {
-    /// Bytes of the blank line that ends the head seen so far, 4 once the head is out.
-    head_end: Cell<u8>,
-    body_left: Cell<usize>,
-    begun: Cell<bool>,
-}
-
-impl Meter {
-    /// For a request with a body of that length.
-    pub fn new(body: usize) -> Self {
-        let meter = Self::default();
-        meter.0.body_left.set(body);
-        meter
-    }
-
-    /// The socket has taken these bytes.
-    fn count(&self, bytes: &[u8]) {
-        let state = &self.0;
-        state.begun.set(true);
-        let mut bytes = bytes.iter();
-        while state.head_end.get() < 4 {
-            let Some(&byte) = bytes.next() else { return };
-            let seen = state.head_end.get();
-            state.head_end.set(match byte {
-                b'\r' if seen == 2 => 3,
-                b'\r' => 1,
-                b'\n' if seen == 1 || seen == 3 => seen + 1,
-                _ => 0,
-            });
-        }
-        state.body_left.set(state.body_left.get().saturating_sub(bytes.len()));
-    }
-
-    /// Some byte is out.
-    pub fn begun(&self) -> bool {
-        self.0.begun.get()
-    }
-
-    /// The last byte is out.
-    pub fn complete(&self) -> bool {
-        self.0.head_end.get() == 4 && self.0.body_left.get() == 0
-    }
-}
-
 /// A socket that tells a meter what is written, and that can be looked at while a connection holds it.
 struct MeteredStream {
     stream: Rc<TcpStream>,
@@ -87,6 +39,7 @@
             match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(length) => {
                     buf.advance(length);
+                    self.meter.borrow().heard();
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -127,6 +80,7 @@
     ended: bool,
     stream: Rc<TcpStream>,
     meter: Rc<RefCell<Meter>>,
+    made: SystemTime,
 }
 
 impl Connection {
@@ -138,7 +92,12 @@
         let metered = MeteredStream { stream: Rc::clone(&stream), meter: Rc::clone(&meter) };
         let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(TokioIo::new(metered));
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver, ended: false, stream, meter })
+        Ok(Self { sender, driver, ended: false, stream, meter, made: SystemTime::now() })
+    }
+
+    /// When it came up, on the clock that lists go by.
+    pub fn made(&self) -> SystemTime {
+        self.made
     }
 
     /// Whether a request may be written: the peer has neither closed it nor said anything unasked. Asks the
@@ -149,20 +108,21 @@
         !self.ended && quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. What the peer says before the request is wholly written
+    /// can be no answer to it: the connection is not to be used on, and what is left of the request not to go out.
     pub async fn request(
         &mut self,
         request: Request<Full<Bytes>>,
         meter: Meter,
     ) -> Result<Response<Incoming>, &'static str> {
-        *self.meter.borrow_mut() = meter;
+        *self.meter.borrow_mut() = meter.clone();
         let Self { sender, driver, ended, .. } = self;
         let answer = async {
             sender.ready().await?;
             sender.send_request(request).await
         };
         match drive(driver, ended, answer).await {
-            Some(Ok(response)) => Ok(response),
+            Some(Ok(response)) if !meter.interrupted() => Ok(response),
             _ => Err("connection lost"),
         }
     }
@@ -207,44 +167,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::time::Duration;
-
-    // An endpoint begins a request when its last byte has come: one byte short it has surely not run.
-    #[test]
-    fn a_meter_tells_the_last_byte_from_the_one_before() {
-        let request = b"POST /api HTTP/1.1\r\nA: b\r\n\r\n{\r\n\r\n}";
-        for cut in 1..request.len() {
-            let meter = Meter::new(6);
-            assert!(!meter.begun());
-            meter.count(&request[..cut]);
-            assert!(meter.begun() && !meter.complete(), "after {cut}");
-            meter.count(&request[cut..]);
-            assert!(meter.complete());
-        }
-        let meter = Meter::new(0);
-        meter.count(b"GET / HTTP/1.1\r\n\r");
-        assert!(!meter.complete());
-        meter.count(b"\n");
-        assert!(meter.complete());
-    }
-
-    // What the runtime has not polled yet it does not know: a request would go out on a connection that its
-    // peer has closed, and end as a reset.
-    #[tokio::test]
-    async fn a_connection_closed_a_moment_ago_is_not_used_again() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let connection = Connection::open(address).await.expect("it connects");
-        let (peer, _) = listener.accept().expect("a connection");
-        assert!(connection.usable());
-        drop(peer);
-        // Without giving the runtime a turn.
-        let until = std::time::Instant::now() + Duration::from_secs(30);
-        while connection.usable() {
-            assert!(std::time::Instant::now() < until, "a closed connection still passes for usable");
-            std::thread::sleep(Duration::from_millis(1));
-        }
-    }
-}
+mod tests;
--- a/src/bin/tinflow/pool.rs
+++ b/src/bin/tinflow/pool.rs
@@ -1,19 +1,25 @@
 //! Connections to endpoints, kept for the next request and bounded. Changes with how long one is kept, and how many are.
 
 use crate::connection::Connection;
+use crate::descriptors::lacked;
 use linenproxy::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// An idle connection is retired this part of its idle time before the endpoint would close it: a request
 /// written later than that would end as a reset.
 const IDLE_MARGIN: u32 = 8;
+/// A connection rests this long after an answer before it is used again. Some endpoints answer a request twice, the
+/// second time some milliseconds later, and nothing tells that answer from one to the next request. What has come by
+/// the end of the rest ends the connection. Requests that come meanwhile go out on other connections, of which a
+/// longer rest would need more (see the test of what a rest costs).
+const REST: Duration = Duration::from_millis(25);
 
 /// A process and where it is reached: one that is started later at the same address is another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +35,8 @@
 pub struct Endpoint {
     at: Cell<Option<Target>>,
     ready: Cell<bool>,
+    /// Connections from before this time lead to a process that is gone.
+    started: Cell<Option<SystemTime>>,
     /// The most recently used one is last.
     idle: RefCell<Vec<Idle>>,
 }
@@ -40,13 +48,29 @@
 }
 
 impl Endpoint {
-    /// Follows the list. Idle connections to a process that is no longer in use are closed.
+    /// Follows the list. Idle connections to an address that is no longer in use, or to a process that has made way
+    /// for another at the same address, are closed: a machine that vanished has said nothing on them, and a request
+    /// would end as a reset.
     pub fn set(&self, at: Option<Target>, ready: bool) {
-        if self.at.get() != at || !ready {
+        let before = self.at.replace(at);
+        self.ready.set(ready && at.is_some());
+        if before.map(|b| b.address) != at.map(|a| a.address) || !ready {
             self.close_idle();
         }
-        self.at.set(at);
-        self.ready.set(ready && at.is_some());
+        if before.map(|b| b.since_ms) != at.map(|a| a.since_ms) {
+            self.started.set(at.map(|a| start_time(a.since_ms)));
+            self.idle.borrow_mut().retain(|idle| self.outlives(&idle.connection));
+        }
+    }
+
+    /// No more of it is listed.
+    pub fn unlist(&self) {
+        self.set(None, false);
+    }
+
+    /// Whether a connection was made to the process that is listed now.
+    fn outlives(&self, connection: &Connection) -> bool {
+        self.started.get().is_none_or(|started| connection.made() >= started)
     }
 
     /// Closes the idle connections.
@@ -60,6 +84,15 @@
     }
 }
 
+/// Why there is no new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialError {
+    /// There is no room for one here; the endpoint was not asked.
+    NoRoom,
+    /// The endpoint refused it, or it did not come up in time.
+    Unreachable,
+}
+
 /// All endpoints and the bounds on connections to them.
 pub struct Pool {
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
@@ -95,7 +128,8 @@
     /// The number goes to another endpoint: nothing of the one before it stays.
     pub fn release(&self, id: usize) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
-            *endpoint = Rc::default();
+            // Who still holds it keeps no connection for it either.
+            std::mem::take(endpoint).unlist();
         }
     }
 
@@ -103,35 +137,48 @@
     pub fn keep_only(&self, listed: &HashSet<usize>) {
         for (id, endpoint) in self.endpoints.borrow().iter().enumerate() {
             if !listed.contains(&id) {
-                endpoint.set(None, false);
+                endpoint.unlist();
             }
         }
     }
 
-    /// The most recently used idle connection that is still good: the others may then grow old and close.
+    /// The most recently used idle connection that has rested and is still good: the others may then grow old and
+    /// close.
     pub fn reuse(&self, endpoint: &Endpoint) -> Option<(Connection, OwnedSemaphorePermit)> {
+        let mut idle = endpoint.idle.borrow_mut();
         loop {
-            let idle = endpoint.idle.borrow_mut().pop()?;
-            if idle.since.elapsed() < self.idle_time && idle.connection.usable() {
-                return Some((idle.connection, idle.permit));
+            let rested = last_rested(idle.iter().map(|i| i.since), Instant::now(), REST)?;
+            let taken = idle.remove(rested);
+            if taken.since.elapsed() < self.idle_time && taken.connection.usable() {
+                return Some((taken.connection, taken.permit));
             }
         }
     }
 
     /// A new connection, where there is room for one.
-    pub async fn dial(&self, address: SocketAddr) -> Option<(Connection, OwnedSemaphorePermit)> {
+    pub async fn dial(&self, address: SocketAddr) -> Result<(Connection, OwnedSemaphorePermit), DialError> {
         let permit = self.permits.clone().try_acquire_owned().or_else(|full| {
-            self.close_oldest_idle();
+            self.make_room();
             self.permits.clone().try_acquire_owned().map_err(|_| full)
         });
         // Before the dial: one that has no room must not cost the endpoint a handshake.
-        let permit = permit.ok()?;
-        let connection = timeout(self.dial_timeout, Connection::open(address)).await.ok()?.ok()?;
-        Some((connection, permit))
+        let permit = permit.map_err(|_| DialError::NoRoom)?;
+        match timeout(self.dial_timeout, Connection::open(address)).await {
+            Ok(Ok(connection)) => Ok((connection, permit)),
+            Ok(Err(error)) if lacked(&error) => Err(DialError::NoRoom),
+            Ok(Err(_)) | Err(_) => Err(DialError::Unreachable),
+        }
     }
 
-    fn close_oldest_idle(&self) {
+    /// Idle connections make way: those that their endpoints have closed or spoken on, or else the oldest one.
+    fn make_room(&self) {
         let endpoints = self.endpoints.borrow();
+        for endpoint in endpoints.iter() {
+            endpoint.idle.borrow_mut().retain(|i| i.connection.usable());
+        }
+        if self.permits.available_permits() > 0 {
+            return;
+        }
         let oldest =
             endpoints.iter().filter_map(|e| Some((e.idle.borrow().first()?.since, e))).min_by_key(|o| o.0);
         if let Some((_, endpoint)) = oldest {
@@ -148,7 +195,8 @@
         permit: OwnedSemaphorePermit,
     ) {
         connection.turn().await;
-        if endpoint.target() == Some(target) && connection.usable() {
+        let there = endpoint.target().is_some_and(|now| now.address == target.address);
+        if there && endpoint.outlives(&connection) && connection.usable() {
             endpoint.idle.borrow_mut().push(Idle { connection, permit, since: Instant::now() });
             self.parked.notify_one();
         }
@@ -170,24 +218,21 @@
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test]
-    async fn without_room_for_a_connection_an_idle_one_makes_way_or_none_is_dialled() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let pool = Pool::new(1, 5_000_000, 10_000_000);
-        let (connection, permit) = pool.dial(address).await.expect("there is room");
-        assert!(pool.dial(address).await.is_none());
-        let endpoint = pool.endpoint(0);
-        let target = Target { address, since_ms: 0 };
-        endpoint.set(Some(target), true);
-        pool.park(&endpoint, target, connection, permit).await;
-        assert!(pool.dial(address).await.is_some());
-        assert!(pool.reuse(&endpoint).is_none());
-        listener.set_nonblocking(true).expect("it can");
-        assert_eq!((0..3).filter(|_| listener.accept().is_ok()).count(), 2);
-    }
+/// When a process started that is listed with this Unix time in milliseconds; one that is yet to come has started now.
+fn start_time(since_ms: i64) -> SystemTime {
+    let since = UNIX_EPOCH.checked_add(Duration::from_millis(since_ms.max(0).unsigned_abs()));
+    let now = SystemTime::now();
+    since.map_or(now, |since| since.min(now))
 }
+
+/// Which of these, that were used last at those times, was used last of all that have rested.
+fn last_rested(
+    mut since: impl DoubleEndedIterator<Item = Instant> + ExactSizeIterator,
+    now: Instant,
+    rest: Duration,
+) -> Option<usize> {
+    since.rposition(|since| now.duration_since(since) >= rest)
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::Meter;
 use crate::messages::{Ended, Input, Inputs, LONGEST_BODY, Outgoing, Served, TIME_LEFT};
-use crate::pool::{Endpoint, Pool, Target};
+use crate::pool::{DialError, Endpoint, Pool, Target};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -94,14 +94,16 @@
             let (mut connection, permit, reused) = match self.pool.reuse(endpoint) {
                 Some((connection, permit)) => (connection, permit, true),
                 None => match self.pool.dial(target.address).await {
-                    Some((mut connection, permit)) => {
+                    Ok((mut connection, permit)) => {
                         // Made ready to write at once, and then what has come meanwhile is heard first: a client's
                         // leaving, the list.
                         connection.turn().await;
                         yield_now().await;
                         (connection, permit, false)
                     }
-                    None => return plain(Outcome::ConnectFailed),
+                    // For want of room here: no endpoint is to blame.
+                    Err(DialError::NoRoom) => return plain(Outcome::NotSent),
+                    Err(DialError::Unreachable) => return plain(Outcome::ConnectFailed),
                 },
             };
             // It may have changed while it was dialled.
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -3,8 +3,10 @@
 #[path = "../stubs/mod.rs"]
 mod stubs;
 
+mod answers;
 mod connections;
 mod cuts;
+mod dials;
 mod extremes;
 mod handovers;
 mod list_forms;
@@ -13,6 +15,8 @@
 mod odd_lists;
 mod repeats;
 mod requests;
+mod restarts;
+mod room;
 mod starting;
 mod stopping;
 mod watches;
