Close clients' connections in order: no unread byte takes an answer along

Cause: `connection()` in inbound.rs dropped the socket as soon as hyper was done with it. Where bytes of the client were unread then (it sent more behind its last request, or the cause of an error answer was still coming), the system reset the connection and dropped what it still had to send.

The process's end waits for it within the times it had.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -1,10 +1,11 @@
 //! The application's side: connections are accepted and served as HTTP/1.1. Changes with how clients' connections are
 //! held and closed.
 
+use crate::closing::linger;
 use crate::descriptors::Limits;
 use crate::facts::Lanes;
 use crate::handle::Handle;
-use crate::inlet::Inlet;
+use crate::inlet::{Inlet, Look};
 use crate::report::say;
 use crate::serving::serve;
 use crate::spaced::{Spaced, left_out};
@@ -40,6 +41,7 @@
 /// How often it is given that time again, as more keeps coming. A request that is being answered holds up what came
 /// behind it, so this has to end.
 const MOST_LOOKS: usize = 3;
+
 /// Binds the address that clients connect to.
 pub fn bind(at: SocketAddr) -> io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -106,30 +108,54 @@
     _permit: OwnedSemaphorePermit,
     lanes: Rc<Lanes>,
     handle: Handle,
-    mut crowded: watch::Receiver<bool>,
-    mut stop: watch::Receiver<Stop>,
+    crowded: watch::Receiver<bool>,
+    stop: watch::Receiver<Stop>,
 ) {
     // Without it an answer could wait for an acknowledgement; it is no reason to turn anyone away.
     let _ = stream.set_nodelay(true);
+    let stopping = *stop.borrow() != Stop::No;
+    let idle = if stopping { IDLE_AT_STOP } else { IDLE };
+    let (inlet, look) = Inlet::new(stream, idle - LAST_LOOK);
+    converse(inlet, &look, (lanes, handle), crowded.clone(), stop.clone(), idle).await;
+    linger(look.stream(), crowding(crowded)).await;
+    // The process waits for this one to go, so it is held to the end.
+    drop(stop);
+}
+
+/// Waits until connections have to make way for new ones.
+async fn crowding(mut crowded: watch::Receiver<bool>) {
+    if crowded.wait_for(|crowded| *crowded).await.is_err() {
+        // No more are accepted.
+        std::future::pending().await
+    }
+}
+
+/// Answers requests until the connection is to be closed and every answer is out.
+async fn converse(
+    inlet: Inlet,
+    look: &Look,
+    (lanes, handle): (Rc<Lanes>, Handle),
+    crowded: watch::Receiver<bool>,
+    mut stop: watch::Receiver<Stop>,
+    idle: Duration,
+) {
     let stopping = *stop.borrow() != Stop::No;
     let at_once = stop.clone();
     let service =
         service_fn(move |request| serve(Rc::clone(&lanes), handle.clone(), request, at_once.clone()));
-    let idle = if stopping { IDLE_AT_STOP } else { IDLE };
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .keep_alive(!stopping)
         .max_buf_size(LONGEST_HEAD);
-    let (inlet, look) = Inlet::new(stream, idle - LAST_LOOK);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(inlet), service));
     tokio::select! {
         biased;
         // What is wrong with a connection concerns its client alone, who has been told 400 or has left.
         _ = connection.as_mut() => return,
         _ = stop.wait_for(|s| *s != Stop::No), if !stopping => {}
-        Ok(_) = crowded.wait_for(|crowded| *crowded) => {}
+        () = crowding(crowded) => {}
     }
     // A request that has come in but was not seen yet is still read: closing on it would cost its client a
     // second one.
--- a/src/bin/tinflow/inlet.rs
+++ b/src/bin/tinflow/inlet.rs
@@ -33,6 +33,11 @@
 }
 
 impl Look {
+    /// The socket.
+    pub fn stream(&self) -> &TcpStream {
+        &self.0
+    }
+
     /// Whether something has come that was not read.
     pub fn unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -9,6 +9,7 @@
 #[cfg(feature = "product")]
 mod bindings_pages;
 mod clock;
+mod closing;
 mod config;
 mod connection;
 mod descriptors;
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -3,6 +3,7 @@
 #[path = "../stubs/mod.rs"]
 mod stubs;
 
+mod closing;
 mod connections;
 mod lists;
 mod requests;
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -42,3 +42,29 @@
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
     table.lines().any(|l| l.contains(&format!(":{:04X} 02 ", address.port())))
 }
+
+/// The state in which the system's table has the connection's end at `local`, as its two digits there ("01": established);
+/// `None` once it is gone.
+pub fn state_of(local: SocketAddr, remote: SocketAddr) -> Option<String> {
+    entry(local, remote).map(|(state, _)| state)
+}
+
+/// How many bytes the system holds that were not read at that end.
+pub fn unread(local: SocketAddr, remote: SocketAddr) -> Option<usize> {
+    entry(local, remote).map(|(_, unread)| unread)
+}
+
+fn entry(local: SocketAddr, remote: SocketAddr) -> Option<(String, usize)> {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
+    let ends = format!(" {} {} ", written(local), written(remote));
+    let line = table.lines().find_map(|line| Some(line.split_once(&ends)?.1))?;
+    let mut fields = line.split([' ', ':']);
+    let (state, _to_send) = (fields.next()?, fields.next()?);
+    Some((state.to_owned(), usize::from_str_radix(fields.next()?, 16).ok()?))
+}
+
+/// An address as the system's table has it.
+fn written(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else { panic!("these tests use no other addresses") };
+    format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port())
+}
--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -112,6 +112,12 @@
         TcpStream::connect(self.address).expect("the sidecar accepts")
     }
 
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        let held = std::fs::read_dir(format!("/proc/{}/fd", self.process.id()));
+        held.expect("the process is there").count()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
