See that a client has left behind bytes that its connection does not read

Cause: hyper looks for the end of what a client sends only while it holds none of its bytes unused. A client that had sent a second request, or anything else, behind the first and then closed or reset its connection was not seen to have left: its attempt went on, further ones began, and so did the second request.

Change: while a request is under way the runtime's readiness is asked for the end of the client's sending side, which it tells beside unread bytes; before a request is handed to the engine as well. Where readiness tells nothing, all stays as it was. A client that closes only its sending side counts as gone, as it did with a single request.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -1,11 +1,12 @@
 //! The application's side: connections are accepted and served as HTTP/1.1. Changes with how clients' connections are
 //! held and closed.
 
+use crate::client::Client;
 use crate::closing::linger;
 use crate::descriptors::Limits;
 use crate::facts::Lanes;
 use crate::handle::Handle;
-use crate::inlet::{Inlet, Look};
+use crate::inlet::Inlet;
 use crate::report::say;
 use crate::serving::serve;
 use crate::spaced::{Spaced, left_out};
@@ -115,9 +116,9 @@
     let _ = stream.set_nodelay(true);
     let stopping = *stop.borrow() != Stop::No;
     let idle = if stopping { IDLE_AT_STOP } else { IDLE };
-    let (inlet, look) = Inlet::new(stream, idle - LAST_LOOK);
-    converse(inlet, &look, (lanes, handle), crowded.clone(), stop.clone(), idle).await;
-    linger(look.stream(), crowding(crowded)).await;
+    let client = Rc::new(Client::new(stream));
+    converse(&client, (lanes, handle), crowded.clone(), stop.clone(), idle).await;
+    linger(client.stream(), crowding(crowded)).await;
     // The process waits for this one to go, so it is held to the end.
     drop(stop);
 }
@@ -132,17 +133,18 @@
 
 /// Answers requests until the connection is to be closed and every answer is out.
 async fn converse(
-    inlet: Inlet,
-    look: &Look,
+    client: &Rc<Client>,
     (lanes, handle): (Rc<Lanes>, Handle),
     crowded: watch::Receiver<bool>,
     mut stop: watch::Receiver<Stop>,
     idle: Duration,
 ) {
     let stopping = *stop.borrow() != Stop::No;
-    let at_once = stop.clone();
-    let service =
-        service_fn(move |request| serve(Rc::clone(&lanes), handle.clone(), request, at_once.clone()));
+    let (at_once, asking) = (stop.clone(), Rc::clone(client));
+    let service = service_fn(move |request| {
+        serve(Rc::clone(&lanes), handle.clone(), request, Rc::clone(&asking), at_once.clone())
+    });
+    let inlet = Inlet::new(Rc::clone(client), idle - LAST_LOOK);
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -163,7 +165,7 @@
         if timeout(LAST_LOOK, connection.as_mut()).await.is_ok() {
             return;
         }
-        if !look.unread() {
+        if !client.unread() {
             break;
         }
     }
--- a/src/bin/tinflow/inlet.rs
+++ b/src/bin/tinflow/inlet.rs
@@ -1,8 +1,8 @@
 //! A client's socket as its connection reads it. Changes with what counts as having come.
 
+use crate::client::Client;
 use socket2::SockRef;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -14,34 +14,21 @@
 /// Looks at the socket itself before a connection counts as idle: the runtime may not have heard yet of what has come,
 /// as when the process was stopped and goes on, and its timers fire first.
 pub struct Inlet {
-    stream: Rc<TcpStream>,
+    client: Rc<Client>,
     /// Since when nothing was read.
     quiet: Instant,
     /// How long that may be before a timer could be about to end the connection.
     sure: Duration,
 }
 
-/// The same socket, looked at from beside the connection.
-pub struct Look(Rc<TcpStream>);
-
 impl Inlet {
     /// Over a connection that may be ended once it was quiet for longer than `sure`.
-    pub fn new(stream: TcpStream, sure: Duration) -> (Self, Look) {
-        let stream = Rc::new(stream);
-        (Self { stream: Rc::clone(&stream), quiet: Instant::now(), sure }, Look(stream))
-    }
-}
-
-impl Look {
-    /// The socket.
-    pub fn stream(&self) -> &TcpStream {
-        &self.0
+    pub fn new(client: Rc<Client>, sure: Duration) -> Self {
+        Self { client, quiet: Instant::now(), sure }
     }
 
-    /// Whether something has come that was not read.
-    pub fn unread(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        SockRef::from(&*self.0).peek(&mut byte).is_ok_and(|length| length > 0)
+    fn stream(&self) -> &TcpStream {
+        self.client.stream()
     }
 }
 
@@ -52,16 +39,16 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            match self.stream.poll_read_ready(cx) {
+            match self.stream().poll_read_ready(cx) {
                 Poll::Ready(ready) => ready?,
                 Poll::Pending if self.quiet.elapsed() < self.sure => return Poll::Pending,
                 Poll::Pending => {}
             }
             let room = buf.initialize_unfilled();
-            let read = match self.stream.try_read(room) {
+            let read = match self.stream().try_read(room) {
                 // What the runtime takes for not readable may be so all the same.
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock && self.quiet.elapsed() >= self.sure => {
-                    io::Read::read(&mut &*SockRef::from(&*self.stream), room)
+                    io::Read::read(&mut &*SockRef::from(self.stream()), room)
                 }
                 read => read,
             };
@@ -71,7 +58,7 @@
                     self.quiet = Instant::now();
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => ready!(self.stream.poll_read_ready(cx))?,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => ready!(self.stream().poll_read_ready(cx))?,
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
@@ -81,8 +68,8 @@
 impl AsyncWrite for Inlet {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
+            ready!(self.stream().poll_write_ready(cx))?;
+            match self.stream().try_write(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -95,8 +82,8 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write_vectored(bufs) {
+            ready!(self.stream().poll_write_ready(cx))?;
+            match self.stream().try_write_vectored(bufs) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -112,6 +99,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(SockRef::from(self.stream()).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -8,6 +8,7 @@
 mod bindings_list;
 #[cfg(feature = "product")]
 mod bindings_pages;
+mod client;
 mod clock;
 mod closing;
 mod config;
--- a/src/bin/tinflow/serving.rs
+++ b/src/bin/tinflow/serving.rs
@@ -1,5 +1,6 @@
 //! One request of a client and its answer. Changes with how the engine's answer becomes one of HTTP.
 
+use crate::client::Client;
 use crate::facts::{Facts, Lanes};
 use crate::handle::Handle;
 use crate::headers::{end_to_end, origin_form};
@@ -12,6 +13,8 @@
 use hyper::{Request, Response, StatusCode};
 use linenproxy::NewRequest;
 use std::cell::Cell;
+use std::error::Error;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -23,17 +26,40 @@
 /// An answer as it is written.
 pub type Reply = Response<Full<Bytes>>;
 
+/// Why a request gets no answer: its connection is closed.
+#[derive(Debug)]
+pub enum Unanswered {
+    /// Its body ended before its time or can't be read.
+    Body(hyper::Error),
+    /// Its client has left.
+    Left,
+}
+
+impl fmt::Display for Unanswered {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Body(e) => write!(f, "the body of a request: {e}"),
+            Self::Left => f.write_str("the client has left"),
+        }
+    }
+}
+
+impl Error for Unanswered {}
+
 /// Answers one request.
 pub async fn serve(
     lanes: Rc<Lanes>,
     handle: Handle,
     request: Request<Incoming>,
+    client: Rc<Client>,
     stop: watch::Receiver<Stop>,
-) -> Result<Reply, hyper::Error> {
+) -> Result<Reply, Unanswered> {
     match request.uri().path() {
         "/up" if *stop.borrow() == Stop::No => Ok(plain(StatusCode::OK)),
         "/up" => Ok(plain(StatusCode::SERVICE_UNAVAILABLE)),
-        path if path == "/api" || path.starts_with("/api/") => api(&lanes, &handle, request, stop).await,
+        path if path == "/api" || path.starts_with("/api/") => {
+            api(&lanes, &handle, request, &client, stop).await
+        }
         _ => Ok(plain(StatusCode::NOT_FOUND)),
     }
 }
@@ -54,8 +80,9 @@
     lanes: &Lanes,
     handle: &Handle,
     request: Request<Incoming>,
+    client: &Client,
     mut stop: watch::Receiver<Stop>,
-) -> Result<Reply, hyper::Error> {
+) -> Result<Reply, Unanswered> {
     let arrived = handle.now();
     let (head, body) = request.into_parts();
     let Some(facts) = Facts::read(lanes, &head.method, &head.headers) else {
@@ -70,7 +97,7 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE)),
         Ok(Err(e)) => match e.downcast::<hyper::Error>() {
-            Ok(e) => return Err(*e),
+            Ok(e) => return Err(Unanswered::Body(*e)),
             Err(_) => return Ok(closing(StatusCode::BAD_REQUEST)),
         },
         Err(_) => return Ok(closing(StatusCode::REQUEST_TIMEOUT)),
@@ -92,12 +119,16 @@
         work: facts.work,
         repeat: facts.repeat,
     };
+    if client.has_left() {
+        return Err(Unanswered::Left);
+    }
     let mut owed = handle.submit(request, outgoing);
-    // The module answers in time by itself. These two bound it from outside; both drop what is owed, which
-    // tells the module that the request is over.
+    // The module answers in time by itself. These bound it from outside; each drops what is owed, which tells the
+    // module that the request is over.
     let answer = tokio::select! {
         biased;
         answer = owed.answer() => answer,
+        () = client.left() => return Err(Unanswered::Left),
         () = sleep_until(handle.instant(due)) => Answer::Failed,
         _ = stop.wait_for(|s| *s == Stop::Now) => Answer::Failed,
     };
