Answer what has come in part or behind others when told to stop

Cause: on SIGTERM each connection was told to shut down at once (inbound.rs, `graceful_shutdown`). hyper then drops a second request in its buffer and half a head on a connection that was used before, and closes a connection on which nothing has been said yet, whose client may be about to send its first request. A connection accepted after the signal got 0.5 s for that, one accepted just before got 2 ms.

Change: a connection tells what it holds (hyper reads during a request only once it holds nothing). Before the shutdown it is driven on: half a request, or the first one of a new connection, is waited for up to 0.5 s; requests behind one under way are answered, within 2.3 s. An answer says that it is the last one unless something has come behind its request. A connection that makes way in a crowd still has no patience with what has not come. What one connection is served with and how it ends moved to session.rs.

--- a/src/bin/tinflow/inlet.rs
+++ b/src/bin/tinflow/inlet.rs
@@ -38,6 +38,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.client.reads();
         loop {
             match self.stream().poll_read_ready(cx) {
                 Poll::Ready(ready) => ready?,
@@ -55,6 +56,9 @@
             match read {
                 Ok(length) => {
                     buf.advance(length);
+                    if length > 0 {
+                        self.client.has_read();
+                    }
                     self.quiet = Instant::now();
                     return Poll::Ready(Ok(()));
                 }
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -39,6 +39,7 @@
 mod product;
 mod report;
 mod serving;
+mod session;
 mod spaced;
 #[cfg(feature = "product")]
 mod state;
--- a/src/bin/tinflow/serving.rs
+++ b/src/bin/tinflow/serving.rs
@@ -52,16 +52,21 @@
     handle: Handle,
     request: Request<Incoming>,
     client: Rc<Client>,
-    stop: watch::Receiver<Stop>,
+    mut stop: watch::Receiver<Stop>,
 ) -> Result<Reply, Unanswered> {
-    match request.uri().path() {
-        "/up" if *stop.borrow() == Stop::No => Ok(plain(StatusCode::OK)),
-        "/up" => Ok(plain(StatusCode::SERVICE_UNAVAILABLE)),
+    let mut reply = match request.uri().path() {
+        "/up" if *stop.borrow() == Stop::No => plain(StatusCode::OK),
+        "/up" => plain(StatusCode::SERVICE_UNAVAILABLE),
         path if path == "/api" || path.starts_with("/api/") => {
-            api(&lanes, &handle, request, &client, stop).await
+            api(&lanes, &handle, request, &client, &mut stop).await?
         }
-        _ => Ok(plain(StatusCode::NOT_FOUND)),
+        _ => plain(StatusCode::NOT_FOUND),
+    };
+    // During a stop an answer is the last one, unless something has come behind its request.
+    if *stop.borrow() != Stop::No && !client.in_hand() && !client.unread() {
+        close_after(&mut reply);
     }
+    Ok(reply)
 }
 
 fn plain(status: StatusCode) -> Reply {
@@ -72,16 +77,20 @@
 
 fn closing(status: StatusCode) -> Reply {
     let mut reply = plain(status);
-    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    close_after(&mut reply);
     reply
 }
 
+fn close_after(reply: &mut Reply) {
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
 async fn api(
     lanes: &Lanes,
     handle: &Handle,
     request: Request<Incoming>,
     client: &Client,
-    mut stop: watch::Receiver<Stop>,
+    stop: &mut watch::Receiver<Stop>,
 ) -> Result<Reply, Unanswered> {
     let arrived = handle.now();
     let (head, body) = request.into_parts();
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 
 mod closing;
 mod connections;
+mod draining;
 mod leaving;
 mod lists;
 mod requests;
