At the last moment of a stop send nothing on and leave no body unanswered

Cause: at `Stop::Now` a request that became whole was handed to the engine and withdrawn again, and one whose body was still coming got no answer before the process ended (serving.rs: the wait for the body did not look at the stop).

Change: both are answered 503 at once, as neither was sent on.

Measured: found by reading; the window is the 80 ms before the process ends, so no test forces it. All tests of the sidecar's stop pass with it.

--- a/src/bin/tinflow/serving.rs
+++ b/src/bin/tinflow/serving.rs
@@ -102,7 +102,12 @@
     if body.size_hint().lower() > LONGEST_BODY as u64 {
         return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let body = match timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()).await {
+    let whole = tokio::select! {
+        biased;
+        whole = timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()) => whole,
+        _ = stop.wait_for(|s| *s == Stop::Now) => return Ok(closing(StatusCode::SERVICE_UNAVAILABLE)),
+    };
+    let body = match whole {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE)),
         Ok(Err(e)) => match e.downcast::<hyper::Error>() {
@@ -131,6 +136,10 @@
     if client.has_left() {
         return Err(Unanswered::Left);
     }
+    // There is no time left in which it could be answered: it must not be sent on.
+    if *stop.borrow() == Stop::Now {
+        return Ok(closing(StatusCode::SERVICE_UNAVAILABLE));
+    }
     let mut owed = handle.submit(request, outgoing);
     // The module answers in time by itself. These bound it from outside; each drops what is owed, which tells the
     // module that the request is over.
