Close a client that leaves its answers unread: it held its descriptor for ever

Cause: once the systems of both sides hold all that they take, hyper waits for room without a bound (`poll_write` in inlet.rs). A peer that sends requests and reads no answer kept a descriptor of the clients' part for as long as it liked, and neither idle time nor crowding ended it.

Change: the wait for room to write an answer ends after the longest that any client waits, by the settings' deadlines, and half a second more, after which an answer counts for nothing. It runs anew for each answer.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -24,6 +24,8 @@
 const COMPLAINT_SPACING: Duration = Duration::from_secs(60);
 /// Pause after a failed accept: with no descriptor to be had, the next one would fail as well.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// How much longer than a client waits at the most its answer may still count.
+const OVERDUE: Duration = Duration::from_millis(500);
 /// Time in which the runtime sees what the system holds already.
 const LAST_LOOK: Duration = Duration::from_millis(2);
 
@@ -36,19 +38,21 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until told that no more are to come.
+/// Accepts connections until told that no more are to come; `longest` is the longest that a client waits.
 pub async fn accept(
     listener: TcpListener,
     limits: Limits,
     lanes: Rc<Lanes>,
     handle: Handle,
+    longest: Duration,
     stop: watch::Receiver<Stop>,
 ) {
     let (crowded, crowding) = watch::channel(false);
     let room = Arc::new(Semaphore::new(limits.clients));
     let mut closed = stop.clone();
     let mut closed = pin!(async move { closed.wait_for(|s| *s >= Stop::Closed).await.map(drop) });
-    let session = Session { lanes, handle, crowded: crowding, stop };
+    let slowest = longest + OVERDUE;
+    let session = Session { lanes, handle, crowded: crowding, slowest, stop };
     let serve = |stream, permit| {
         spawn_local(session.clone().run(stream, permit));
     };
--- a/src/bin/tinflow/inlet.rs
+++ b/src/bin/tinflow/inlet.rs
@@ -2,6 +2,7 @@
 
 use crate::client::Client;
 use socket2::SockRef;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Instant, Sleep, sleep};
 
 /// Looks at the socket itself before a connection counts as idle: the runtime may not have heard yet of what has come,
 /// as when the process was stopped and goes on, and its timers fire first.
@@ -19,17 +20,33 @@
     quiet: Instant,
     /// How long that may be before a timer could be about to end the connection.
     sure: Duration,
+    /// How long a client may take to make room for an answer.
+    slowest: Duration,
+    /// Runs while there is no room for one.
+    overdue: Option<Pin<Box<Sleep>>>,
 }
 
 impl Inlet {
-    /// Over a connection that may be ended once it was quiet for longer than `sure`.
-    pub fn new(client: Rc<Client>, sure: Duration) -> Self {
-        Self { client, quiet: Instant::now(), sure }
+    /// Over a connection that may be ended once it was quiet for longer than `sure`, and that ends once its client
+    /// has left an answer unread for longer than `slowest` after its system had no more room.
+    pub fn new(client: Rc<Client>, sure: Duration, slowest: Duration) -> Self {
+        Self { client, quiet: Instant::now(), sure, slowest, overdue: None }
     }
 
     fn stream(&self) -> &TcpStream {
         self.client.stream()
     }
+
+    /// Waits for room for an answer, but not for ever.
+    fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Poll::Ready(room) = self.stream().poll_write_ready(cx) {
+            return Poll::Ready(room);
+        }
+        let slowest = self.slowest;
+        let overdue = self.overdue.get_or_insert_with(|| Box::pin(sleep(slowest)));
+        ready!(overdue.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl AsyncRead for Inlet {
@@ -70,9 +87,9 @@
 }
 
 impl AsyncWrite for Inlet {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream().poll_write_ready(cx))?;
+            ready!(self.poll_room(cx))?;
             match self.stream().try_write(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
@@ -81,12 +98,12 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream().poll_write_ready(cx))?;
+            ready!(self.poll_room(cx))?;
             match self.stream().try_write_vectored(bufs) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
@@ -98,7 +115,9 @@
         true
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Asked for once all of an answer is written.
+        self.overdue = None;
         Poll::Ready(Ok(()))
     }
 
--- a/src/bin/tinflow/main.rs
+++ b/src/bin/tinflow/main.rs
@@ -115,7 +115,7 @@
         ),
         None => None,
     };
-    let longest = config.longest_deadline().min(LONGEST_GRACE);
+    let longest = config.longest_deadline();
     let limits = Limits::of(config.sockets);
     let lanes = Rc::new(facts::Lanes::of(&config));
     let (discovery, discovery_at) = watch::channel(config.discovery);
@@ -130,7 +130,7 @@
     product.host(&observer, handle.inputs(), fleet.as_ref(), state.as_ref())?;
     let (stop, stopped) = watch::channel(Stop::No);
     let mut running = spawn_local(engine.run());
-    let accepting = spawn_local(inbound::accept(listener, limits, lanes, handle, stopped));
+    let accepting = spawn_local(inbound::accept(listener, limits, lanes, handle, longest, stopped));
 
     loop {
         tokio::select! {
@@ -151,7 +151,7 @@
     if let Some(state) = &state {
         state.stop(&inputs);
     }
-    let ending = end(stop, accepting, longest);
+    let ending = end(stop, accepting, longest.min(LONGEST_GRACE));
     tokio::pin!(ending);
     // What is still held goes by the list, so discovery is followed to the end.
     loop {
--- a/src/bin/tinflow/session.rs
+++ b/src/bin/tinflow/session.rs
@@ -41,6 +41,8 @@
     pub handle: Handle,
     /// Whether connections have to make way for new ones.
     pub crowded: watch::Receiver<bool>,
+    /// How long a client may take to make room for an answer.
+    pub slowest: Duration,
     /// How far a planned stop has come.
     pub stop: watch::Receiver<Stop>,
 }
@@ -68,7 +70,7 @@
                 reply.await
             }
         });
-        let inlet = Inlet::new(Rc::clone(client), idle - LAST_LOOK);
+        let inlet = Inlet::new(Rc::clone(client), idle - LAST_LOOK, self.slowest);
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(LONGEST_HEAD);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(inlet), service));
--- a/tests/sidecar/closing.rs
+++ b/tests/sidecar/closing.rs
@@ -100,3 +100,19 @@
     await_that("their descriptors are free again", || sidecar.descriptors() <= before);
     drop(peers);
 }
+
+// Answers wait in the sidecar once the systems of both sides hold all that they take.
+#[test]
+fn a_client_that_stops_reading_its_answers_is_closed_after_the_longest_that_any_client_waits() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| Reply::Answer(200, "", vec![b'a'; 60_000]));
+    let quick = |config: String| config.replace("20000000", "500000").replace("8000000", "200000");
+    let sidecar = Sidecar::start_altered(&discovery, &[("s-1", &endpoint)], 1024, quick);
+    let mut client = narrow_client(&sidecar);
+    let here = client.local_addr().expect("an address");
+    // 12 MB of answers; the system takes 4 MB at the most.
+    client.write_all(request("look", "", "").repeat(200).as_bytes()).expect("the sidecar takes it");
+    await_that("it is closed", || state_of(sidecar.address, here).as_deref() != Some("01"));
+    assert!((1..200).contains(&endpoint.requests()), "its answers were not what held it up");
+    drop(client);
+}
