Let the last accepted connections wait for a place instead of dropping them

The loop also waited for a place without looking at the stop.

Change: one way to a place for all of them, `Room::place`; at the last moment of a stop what still waits is served without one, which answers 503 and sends nothing on.

Measured: found by reading.

--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -38,6 +38,26 @@
     socket.listen(BACKLOG)
 }
 
+/// Places for the connections of clients.
+struct Room {
+    places: Arc<Semaphore>,
+    crowded: watch::Sender<bool>,
+}
+
+impl Room {
+    /// Waits for one. Clients that say nothing must not hold up a request: where there is none, idle connections
+    /// make way. That holds until there is one, as a connection that was just accepted may not yet listen for it.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+            return Some(place);
+        }
+        self.crowded.send_replace(true);
+        let place = Arc::clone(&self.places).acquire_owned().await.ok();
+        self.crowded.send_replace(false);
+        place
+    }
+}
+
 /// Accepts connections until told that no more are to come; `longest` is the longest that a client waits.
 pub async fn accept(
     listener: TcpListener,
@@ -48,13 +68,18 @@
     stop: watch::Receiver<Stop>,
 ) {
     let (crowded, crowding) = watch::channel(false);
-    let room = Arc::new(Semaphore::new(limits.clients));
+    let room = Room { places: Arc::new(Semaphore::new(limits.clients)), crowded };
     let mut closed = stop.clone();
     let mut closed = pin!(async move { closed.wait_for(|s| *s >= Stop::Closed).await.map(drop) });
-    let slowest = longest + OVERDUE;
-    let session = Session { lanes, handle, crowded: crowding, slowest, stop };
-    let serve = |stream, permit| {
-        spawn_local(session.clone().run(stream, permit));
+    let session = Session { lanes, handle, crowded: crowding, slowest: longest + OVERDUE, stop };
+    let serve = async |stream| {
+        // At the very end what waits for a place is told so without one: its descriptor is held already.
+        let place = tokio::select! {
+            biased;
+            place = room.place() => place,
+            () = session.stopped(Stop::Now) => None,
+        };
+        spawn_local(session.clone().run(stream, place));
     };
     let mut failures = Spaced::new(COMPLAINT_SPACING);
     loop {
@@ -63,31 +88,18 @@
             accepted = listener.accept() => accepted,
             _ = &mut closed => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => serve(stream).await,
             Err(e) => {
                 if let Some(others) = failures.pass(Instant::now()) {
                     say!(warn, "tinflow::inbound", "cannot accept: {e}{}", left_out(others));
                 }
                 sleep(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
-        let mut permit = Arc::clone(&room).try_acquire_owned().ok();
-        if permit.is_none() {
-            // Clients that say nothing must not hold up a request: idle connections make way. This holds until
-            // there is room, as a connection that was just accepted may not yet listen for it.
-            crowded.send_replace(true);
-            permit = Arc::clone(&room).acquire_owned().await.ok();
-            crowded.send_replace(false);
-        }
-        if let Some(permit) = permit {
-            serve(stream, permit);
         }
     }
     // What the system has accepted counts as taken: it is still served.
     while let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
-        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else { break };
-        serve(stream, permit);
+        serve(stream).await;
     }
 }
--- a/src/bin/tinflow/session.rs
+++ b/src/bin/tinflow/session.rs
@@ -49,7 +49,7 @@
 
 impl Session {
     /// Serves a connection and closes it. The process waits with its end until this has ended.
-    pub async fn run(self, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+    pub async fn run(self, stream: TcpStream, _place: Option<OwnedSemaphorePermit>) {
         // Without it an answer could wait for an acknowledgement; it is no reason to turn anyone away.
         let _ = stream.set_nodelay(true);
         let client = Rc::new(Client::new(stream));
@@ -118,7 +118,7 @@
     }
 
     /// Waits until a planned stop has come so far.
-    async fn stopped(&self, stage: Stop) {
+    pub async fn stopped(&self, stage: Stop) {
         if self.stop.clone().wait_for(|stop| *stop >= stage).await.is_err() {
             pending().await
         }
