--- a/src/bin/tinflow/inbound.rs
+++ b/src/bin/tinflow/inbound.rs
@@ -1,45 +1,34 @@
-//! The application's side: connections are accepted and served as HTTP/1.1. Changes with how clients' connections are
-//! held and closed.
+//! The application's side: connections are accepted, as many as there is room for. Changes with how that is done.
 
 use crate::descriptors::Limits;
 use crate::facts::Lanes;
 use crate::handle::Handle;
-use crate::inlet::Inlet;
 use crate::report::say;
-use crate::serving::serve;
+use crate::session::Session;
 use crate::spaced::{Spaced, left_out};
 use crate::stop::Stop;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Connections that the system may hold until they are accepted.
 const BACKLOG: u32 = 1024;
-/// Longest head of a request.
-const LONGEST_HEAD: usize = 32 << 10;
-/// A connection that stays without a whole head this long is closed, and sooner once told to stop. Anyone may
-/// connect and say little or nothing, and is owed an error or a close within 3 s; clients keep theirs for 2 s.
-const IDLE: Duration = Duration::from_millis(2300);
-const IDLE_AT_STOP: Duration = Duration::from_millis(500);
 /// Least time from one line on failed accepts to the next.
 const COMPLAINT_SPACING: Duration = Duration::from_secs(60);
 /// Pause after a failed accept: with no descriptor to be had, the next one would fail as well.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// How much longer than a client waits at the most its answer may still count.
+const OVERDUE: Duration = Duration::from_millis(500);
 /// Time in which the runtime sees what the system holds already.
 const LAST_LOOK: Duration = Duration::from_millis(2);
-/// How often it is given that time again, as more keeps coming. A request that is being answered holds up what came
-/// behind it, so this has to end.
-const MOST_LOOKS: usize = 3;
+
 /// Binds the address that clients connect to.
 pub fn bind(at: SocketAddr) -> io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -49,22 +38,49 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until told that no more are to come.
+/// Places for the connections of clients.
+struct Room {
+    places: Arc<Semaphore>,
+    crowded: watch::Sender<bool>,
+}
+
+impl Room {
+    /// Waits for one. Clients that say nothing must not hold up a request: where there is none, idle connections
+    /// make way. That holds until there is one, as a connection that was just accepted may not yet listen for it.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+            return Some(place);
+        }
+        self.crowded.send_replace(true);
+        let place = Arc::clone(&self.places).acquire_owned().await.ok();
+        self.crowded.send_replace(false);
+        place
+    }
+}
+
+/// Accepts connections until told that no more are to come; `longest` is the longest that a client waits.
 pub async fn accept(
     listener: TcpListener,
     limits: Limits,
     lanes: Rc<Lanes>,
     handle: Handle,
+    longest: Duration,
     stop: watch::Receiver<Stop>,
 ) {
     let (crowded, crowding) = watch::channel(false);
-    let room = Arc::new(Semaphore::new(limits.clients));
-    let serve = |stream, permit| {
-        let (lanes, handle) = (Rc::clone(&lanes), handle.clone());
-        spawn_local(connection(stream, permit, lanes, handle, crowding.clone(), stop.clone()));
-    };
+    let room = Room { places: Arc::new(Semaphore::new(limits.clients)), crowded };
     let mut closed = stop.clone();
     let mut closed = pin!(async move { closed.wait_for(|s| *s >= Stop::Closed).await.map(drop) });
+    let session = Session { lanes, handle, crowded: crowding, slowest: longest + OVERDUE, stop };
+    let serve = async |stream| {
+        // At the very end what waits for a place is told so without one: its descriptor is held already.
+        let place = tokio::select! {
+            biased;
+            place = room.place() => place,
+            () = session.stopped(Stop::Now) => None,
+        };
+        spawn_local(session.clone().run(stream, place));
+    };
     let mut failures = Spaced::new(COMPLAINT_SPACING);
     loop {
         let accepted = tokio::select! {
@@ -72,75 +88,18 @@
             accepted = listener.accept() => accepted,
             _ = &mut closed => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => serve(stream).await,
             Err(e) => {
                 if let Some(others) = failures.pass(Instant::now()) {
                     say!(warn, "tinflow::inbound", "cannot accept: {e}{}", left_out(others));
                 }
                 sleep(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
-        let mut permit = Arc::clone(&room).try_acquire_owned().ok();
-        if permit.is_none() {
-            // Clients that say nothing must not hold up a request: idle connections make way. This holds until
-            // there is room, as a connection that was just accepted may not yet listen for it.
-            crowded.send_replace(true);
-            permit = Arc::clone(&room).acquire_owned().await.ok();
-            crowded.send_replace(false);
-        }
-        if let Some(permit) = permit {
-            serve(stream, permit);
         }
     }
     // What the system has accepted counts as taken: it is still served.
     while let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
-        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else { break };
-        serve(stream, permit);
-    }
-}
-
-async fn connection(
-    stream: TcpStream,
-    _permit: OwnedSemaphorePermit,
-    lanes: Rc<Lanes>,
-    handle: Handle,
-    mut crowded: watch::Receiver<bool>,
-    mut stop: watch::Receiver<Stop>,
-) {
-    // Without it an answer could wait for an acknowledgement; it is no reason to turn anyone away.
-    let _ = stream.set_nodelay(true);
-    let stopping = *stop.borrow() != Stop::No;
-    let at_once = stop.clone();
-    let service =
-        service_fn(move |request| serve(Rc::clone(&lanes), handle.clone(), request, at_once.clone()));
-    let idle = if stopping { IDLE_AT_STOP } else { IDLE };
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .keep_alive(!stopping)
-        .max_buf_size(LONGEST_HEAD);
-    let (inlet, look) = Inlet::new(stream, idle - LAST_LOOK);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(inlet), service));
-    tokio::select! {
-        biased;
-        // What is wrong with a connection concerns its client alone, who has been told 400 or has left.
-        _ = connection.as_mut() => return,
-        _ = stop.wait_for(|s| *s != Stop::No), if !stopping => {}
-        Ok(_) = crowded.wait_for(|crowded| *crowded) => {}
-    }
-    // A request that has come in but was not seen yet is still read: closing on it would cost its client a
-    // second one.
-    for _ in 0..MOST_LOOKS {
-        if timeout(LAST_LOOK, connection.as_mut()).await.is_ok() {
-            return;
-        }
-        if !look.unread() {
-            break;
-        }
+        serve(stream).await;
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
--- a/src/bin/tinflow/serving.rs
+++ b/src/bin/tinflow/serving.rs
@@ -1,5 +1,6 @@
 //! One request of a client and its answer. Changes with how the engine's answer becomes one of HTTP.
 
+use crate::client::Client;
 use crate::facts::{Facts, Lanes};
 use crate::handle::Handle;
 use crate::headers::{end_to_end, origin_form};
@@ -12,6 +13,8 @@
 use hyper::{Request, Response, StatusCode};
 use linenproxy::NewRequest;
 use std::cell::Cell;
+use std::error::Error;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -23,19 +26,47 @@
 /// An answer as it is written.
 pub type Reply = Response<Full<Bytes>>;
 
+/// Why a request gets no answer: its connection is closed.
+#[derive(Debug)]
+pub enum Unanswered {
+    /// Its body ended before its time or can't be read.
+    Body(hyper::Error),
+    /// Its client has left.
+    Left,
+}
+
+impl fmt::Display for Unanswered {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Body(e) => write!(f, "the body of a request: {e}"),
+            Self::Left => f.write_str("the client has left"),
+        }
+    }
+}
+
+impl Error for Unanswered {}
+
 /// Answers one request.
 pub async fn serve(
     lanes: Rc<Lanes>,
     handle: Handle,
     request: Request<Incoming>,
-    stop: watch::Receiver<Stop>,
-) -> Result<Reply, hyper::Error> {
-    match request.uri().path() {
-        "/up" if *stop.borrow() == Stop::No => Ok(plain(StatusCode::OK)),
-        "/up" => Ok(plain(StatusCode::SERVICE_UNAVAILABLE)),
-        path if path == "/api" || path.starts_with("/api/") => api(&lanes, &handle, request, stop).await,
-        _ => Ok(plain(StatusCode::NOT_FOUND)),
+    client: Rc<Client>,
+    mut stop: watch::Receiver<Stop>,
+) -> Result<Reply, Unanswered> {
+    let mut reply = match request.uri().path() {
+        "/up" if *stop.borrow() == Stop::No => plain(StatusCode::OK),
+        "/up" => plain(StatusCode::SERVICE_UNAVAILABLE),
+        path if path == "/api" || path.starts_with("/api/") => {
+            api(&lanes, &handle, request, &client, &mut stop).await?
+        }
+        _ => plain(StatusCode::NOT_FOUND),
+    };
+    // During a stop an answer is the last one, unless something has come behind its request.
+    if *stop.borrow() != Stop::No && !client.in_hand() && !client.unread() {
+        close_after(&mut reply);
     }
+    Ok(reply)
 }
 
 fn plain(status: StatusCode) -> Reply {
@@ -46,16 +77,21 @@
 
 fn closing(status: StatusCode) -> Reply {
     let mut reply = plain(status);
-    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    close_after(&mut reply);
     reply
 }
 
+fn close_after(reply: &mut Reply) {
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
 async fn api(
     lanes: &Lanes,
     handle: &Handle,
     request: Request<Incoming>,
-    mut stop: watch::Receiver<Stop>,
-) -> Result<Reply, hyper::Error> {
+    client: &Client,
+    stop: &mut watch::Receiver<Stop>,
+) -> Result<Reply, Unanswered> {
     let arrived = handle.now();
     let (head, body) = request.into_parts();
     let Some(facts) = Facts::read(lanes, &head.method, &head.headers) else {
@@ -66,11 +102,16 @@
     if body.size_hint().lower() > LONGEST_BODY as u64 {
         return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let body = match timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()).await {
+    let whole = tokio::select! {
+        biased;
+        whole = timeout_at(whole_by, Limited::new(body, LONGEST_BODY).collect()) => whole,
+        _ = stop.wait_for(|s| *s == Stop::Now) => return Ok(closing(StatusCode::SERVICE_UNAVAILABLE)),
+    };
+    let body = match whole {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => return Ok(closing(StatusCode::PAYLOAD_TOO_LARGE)),
         Ok(Err(e)) => match e.downcast::<hyper::Error>() {
-            Ok(e) => return Err(*e),
+            Ok(e) => return Err(Unanswered::Body(*e)),
             Err(_) => return Ok(closing(StatusCode::BAD_REQUEST)),
         },
         Err(_) => return Ok(closing(StatusCode::REQUEST_TIMEOUT)),
@@ -92,12 +133,20 @@
         work: facts.work,
         repeat: facts.repeat,
     };
+    if client.has_left() {
+        return Err(Unanswered::Left);
+    }
+    // There is no time left in which it could be answered: it must not be sent on.
+    if *stop.borrow() == Stop::Now {
+        return Ok(closing(StatusCode::SERVICE_UNAVAILABLE));
+    }
     let mut owed = handle.submit(request, outgoing);
-    // The module answers in time by itself. These two bound it from outside; both drop what is owed, which
-    // tells the module that the request is over.
+    // The module answers in time by itself. These bound it from outside; each drops what is owed, which tells the
+    // module that the request is over.
     let answer = tokio::select! {
         biased;
         answer = owed.answer() => answer,
+        () = client.left() => return Err(Unanswered::Left),
         () = sleep_until(handle.instant(due)) => Answer::Failed,
         _ = stop.wait_for(|s| *s == Stop::Now) => Answer::Failed,
     };
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,11 +4,14 @@
 mod stubs;
 
 mod answers;
+mod closing;
 mod connections;
 mod cuts;
 mod dials;
+mod draining;
 mod extremes;
 mod handovers;
+mod leaving;
 mod list_forms;
 mod lists;
 mod moves;
