--- a/src/bin/tinflow/descriptors.rs
+++ b/src/bin/tinflow/descriptors.rs
@@ -1,5 +1,7 @@
 //! How the descriptors of the process are shared out. Changes with who needs some.
 
+use tokio::sync::Semaphore;
+
 /// How many each side may hold.
 #[derive(Clone, Copy)]
 pub struct Limits {
@@ -13,7 +15,7 @@
     /// Of so many descriptors some stay in reserve for discovery, peers, signals and accepting; of the rest
     /// both sides get half, as a request takes one on each.
     pub fn of(sockets: usize) -> Self {
-        let each = (sockets - sockets / 8).saturating_sub(16).max(2) / 2;
+        let each = ((sockets - sockets / 8).saturating_sub(16).max(2) / 2).min(Semaphore::MAX_PERMITS);
         Self { clients: each, upstream: each }
     }
 }
@@ -24,9 +26,10 @@
 
     #[test]
     fn descriptors_stay_in_reserve() {
-        for sockets in [32, 256, 1024, 4096] {
+        for sockets in [32, 256, 1024, 4096, usize::MAX] {
             let limits = Limits::of(sockets);
-            assert!(limits.clients >= 1 && limits.clients + limits.upstream + 16 <= sockets, "{sockets}");
+            assert!(limits.clients <= Semaphore::MAX_PERMITS, "{sockets}");
+            assert!(limits.clients >= 1 && limits.clients + limits.upstream <= sockets - 16, "{sockets}");
         }
     }
 }
