Keep a log line one line where it quotes line breaks from outside

Cause: report::line wrote what it was given; serde names an unknown variant as it stands ('unknown variant `odd line`', HostStatus in the known list, and in discovery's answers alike), so a configuration or a list could end a line and begin another. The line also left in two writes (prefix, text), between which lines of other programs could come.

Change: control characters become spaces, and the line is written whole in one write.

Builds with the product parts write by their own logger and were not looked at.

--- a/src/bin/tinflow/report.rs
+++ b/src/bin/tinflow/report.rs
@@ -1,10 +1,12 @@
 //! Lines for the people on call. Changes with how a line leaves the program.
 
-/// Writes one line to standard error. One that is closed must not end a sidecar that serves.
+/// Writes one line to standard error, at once and whole, also where what it quotes from outside holds line breaks. One
+/// that is closed must not end a sidecar that serves.
 #[cfg(not(feature = "product"))]
 pub fn line(what: std::fmt::Arguments<'_>) {
     use std::io::Write;
-    let _ = writeln!(std::io::stderr(), "tinflow: {what}");
+    let line = format!("tinflow: {what}").replace(char::is_control, " ") + "\n";
+    let _ = std::io::stderr().write_all(line.as_bytes());
 }
 
 /// Writes a line: `say!(info, "target", "words {}", value)`. Level and target count in builds with the product parts.
