Refuse settings that mix up classes or allow a second effect; test each damaged field

Cause, all in how settings are decoded (src/settings.rs, src/api/settings.rs): - Two classes (or tenants) of one name were taken; requests of that name all got the first one's effect and aim, so those of an unsafe class behind a safe one would have been repeated. A class with an empty name was taken too. - An unknown DedupScope of a keyed class counted as 'all', also one that is absent: repeats went to any server, and the client was told 503, which invites it to come again by any sidecar. - KeyTtlUs was not bounded: with the least number ttl - tick in rules.rs wraps, and the window for repeats never ended.

Change: names must be given and told apart; an unknown scope is refused as an unknown effect is; where none is said, repeats go to the same cell alone, whose servers surely drop them; the window must lie in 0 to 2^50 us. Each gives one plain line.

At SIGHUP each refused text costs one line in a running sidecar, which then still follows the old discovery.

--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -211,6 +211,10 @@
                 all(&|c| c.deadline > 0 && time(c.deadline)),
                 "classes: deadline must be above 0 and under 2^50 us",
             ),
+            (
+                all(&|c| !matches!(c.effect, Effect::Keyed { ttl, .. } if !time(ttl))),
+                "classes: ttl must lie in 0 to 2^50 us",
+            ),
             (all(&|c| figure(c.aim_stretch)), "classes: aim_stretch must be finite and not negative"),
             (self.limits.max_attempts > 0, "limits: max_attempts must be above 0"),
             (share(r.cold_share), "rules: cold_share must lie in 0 to 1"),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 use crate::api::*;
 use form::{Conf, Lane};
 pub use names::Names;
+use std::collections::HashSet;
 
 /// What a settings object says: the module's settings, and the names behind the numbers in them.
 pub struct Decoded {
@@ -26,13 +27,26 @@
 pub fn decode(text: &str) -> Result<Decoded, String> {
     let conf: Conf = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let mut zones = Names::default();
-    let classes = conf.lanes.iter().map(|l| l.name.clone()).collect();
-    let tenants = conf.tenants.iter().map(|t| t.name.clone()).collect();
+    let classes = told_apart("class", conf.lanes.iter().map(|l| l.name.clone()))?;
+    let tenants = told_apart("tenant", conf.tenants.iter().map(|t| t.name.clone()))?;
     let idle_close = conf.limits.idle_close_us;
     let settings = conf.settings(&mut zones)?;
     Ok(Decoded { settings, classes, tenants, zones, idle_close })
 }
 
+/// The names, none of them empty or given twice: requests name their class and tenant, and a second one of that name
+/// would lend the first one's effect and limits to the other's requests.
+fn told_apart(what: &str, names: impl Iterator<Item = String>) -> Result<Vec<String>, String> {
+    let mut seen = HashSet::new();
+    names
+        .map(|name| match () {
+            () if name.is_empty() => Err(format!("a {what} without a name")),
+            () if !seen.insert(name.clone()) => Err(format!("two of {what} {name:?}")),
+            () => Ok(name),
+        })
+        .collect()
+}
+
 impl Conf {
     fn settings(self, zones: &mut Names) -> Result<Settings, String> {
         for zone in &self.zones {
@@ -101,16 +115,11 @@
 
 impl Lane {
     fn class(self) -> Result<Class, String> {
-        let scope = match self.dedup_scope.as_deref() {
-            Some("zone") => DedupScope::Zone,
-            Some("cell") => DedupScope::Cell,
-            _ => DedupScope::All,
-        };
         let effect = match self.effect.as_str() {
             "pure" => Effect::Safe,
-            "token" => Effect::Keyed { scope, ttl: self.key_ttl_us },
+            "token" => Effect::Keyed { scope: self.scope()?, ttl: self.key_ttl_us },
             "side_effect" => Effect::Unsafe,
-            other => return Err(format!("unknown Effect {other}")),
+            other => return Err(format!("unknown Effect {other:?}")),
         };
         Ok(Class {
             aim: self.aim_us,
@@ -122,4 +131,14 @@
             streaming: self.streaming,
         })
     }
+
+    /// Which endpoints drop repeats. Where that is not said, it is those that surely do.
+    fn scope(&self) -> Result<DedupScope, String> {
+        match self.dedup_scope.as_deref() {
+            Some("all") => Ok(DedupScope::All),
+            Some("zone") => Ok(DedupScope::Zone),
+            Some("cell") | None => Ok(DedupScope::Cell),
+            Some(other) => Err(format!("unknown DedupScope {other:?}")),
+        }
+    }
 }
--- /dev/null
+++ b/tests/sidecar/bad_settings.rs
@@ -0,0 +1,258 @@
+//! Configurations that are damaged in one place each: either the program ends with one plain line, or it serves. At a
+//! SIGHUP the same damage costs one line, and the old configuration stays.
+
+use crate::ok;
+use crate::stubs::*;
+use serde_json::{Value, json};
+use std::fs::File;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Instant;
+
+/// Every field that is read, by its place in the file.
+const FIELDS: &str = include_str!("bad_settings/fields.txt");
+
+/// What stands in the place of a field's value, as JSON; `-` is nothing at all.
+const DAMAGES: [&str; 14] = [
+    "-",
+    "null",
+    "true",
+    "\"odd\"",
+    "\"odd\\nline\"",
+    "\"\"",
+    "[]",
+    "{}",
+    "0",
+    "-1",
+    "-9223372036854775808",
+    "9223372036854775807",
+    "18446744073709551615",
+    "1e300",
+];
+
+/// A file that stands for no field.
+const WHOLE: [&str; 9] =
+    ["", "{", "null", "[]", "{}", "\u{feff}{}", "{\"settings\":NaN}", "{\"settings\":1e999}", "\u{0}"];
+
+/// What is taken although it says little: the field keeps its meaning of absent, or nothing is decided by it. One line
+/// a field, with the damages that are taken.
+const TAKEN: &str = include_str!("bad_settings/taken.txt");
+
+/// How a start ended.
+#[derive(Debug, PartialEq)]
+enum Start {
+    Refused,
+    Serving,
+}
+
+/// A good configuration that names every field.
+fn whole(listen: SocketAddr, discovery: SocketAddr, endpoint: SocketAddr) -> Value {
+    let known = list(1, true, &[("s-1", endpoint, "active")]);
+    let mut file: Value = serde_json::from_str(&config(listen, discovery, &known)).expect("a good file");
+    let spare = unused_address();
+    (file["peer_listen"], file["peers"], file["peers_all"]) =
+        (json!(unused_address()), json!([spare]), json!(spare));
+    let settings = &mut file["settings"];
+    for (field, value) in [
+        ("Clients", json!({"MarksRetry": true})),
+        ("CountedBy", json!("request")),
+        ("Goal", json!({"Whole": 0.85})),
+        ("OverShareWorth", json!(0.1)),
+        ("Prices", json!({"CrossZone": 0.1})),
+        ("Report", json!({"Source": "pull"})),
+    ] {
+        settings[field] = value;
+    }
+    for (field, value) in [
+        ("MaxRetryAfterUs", json!(2_000_000)),
+        ("Peers", json!(false)),
+        ("Probes", json!(false)),
+        ("RetryAfter", json!(true)),
+    ] {
+        settings["Limits"][field] = value;
+    }
+    settings["Rules"]["AnswerSlackUs"] = json!(20_000);
+    let lane = &mut settings["Lanes"][0];
+    (lane["AimStretch"], lane["LateShare"]) = (json!(0.5), json!(0.1));
+    (lane["Streaming"], lane["Worth"]) = (json!(false), json!(2.0));
+    file
+}
+
+/// The file with one field damaged.
+fn damaged(file: &Value, field: &str, damage: &str) -> String {
+    let mut file = file.clone();
+    let (parent, name) = field.rsplit_once('/').expect("a place");
+    let parent = file.pointer_mut(parent).expect("the good file names every field");
+    match (damage, parent) {
+        ("-", Value::Object(fields)) => drop(fields.remove(name).expect("it is there")),
+        ("-", Value::Array(values)) => values.clear(),
+        (damage, parent) => {
+            let place = match parent {
+                Value::Array(values) => &mut values[0],
+                other => other.get_mut(name).expect("the good file names every field"),
+            };
+            *place = serde_json::from_str(damage).expect("a value");
+        }
+    }
+    file.to_string()
+}
+
+/// Starts the program on a text; it says how that ended within a bounded time.
+fn start(text: &str, listen: SocketAddr) -> Start {
+    let path = config_file(text);
+    let said = config_file("");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tinflow"));
+    command.env("LB_CONFIG", &path).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+    command.stdin(Stdio::null()).stderr(File::create(&said).expect("a file"));
+    let mut process = Running(command.spawn().expect("it starts"));
+    let up = || {
+        let mut stream = std::net::TcpStream::connect(listen).ok()?;
+        stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
+        read_message(&mut stream)
+    };
+    let until = Instant::now() + LONG;
+    let started = loop {
+        if let Some(status) = process.0.try_wait().expect("it can be asked") {
+            let said = std::fs::read_to_string(&said).expect("text");
+            assert_eq!(status.code(), Some(1), "{text}: {said}");
+            assert!(said.starts_with("tinflow: ") && said.lines().count() == 1, "{text}: {said}");
+            break Start::Refused;
+        }
+        if up().is_some_and(|m| m.status() == 200) {
+            let mut stream = std::net::TcpStream::connect(listen).expect("it accepts");
+            let ask = request("look", "", "").replace("19000m", "1000m");
+            stream.write_all(ask.as_bytes()).expect("it takes a request");
+            assert!(read_message(&mut stream).is_some(), "no answer under {text}");
+            assert_eq!(process.0.try_wait().expect("it can be asked"), None, "{text}");
+            break Start::Serving;
+        }
+        assert!(Instant::now() < until, "neither up nor ended: {text}");
+    };
+    let _ = (std::fs::remove_file(path), std::fs::remove_file(said));
+    started
+}
+
+/// A process that ends with its test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait());
+    }
+}
+
+fn taken(field: &str, damage: &str) -> bool {
+    let line = TAKEN.lines().find_map(|l| l.strip_prefix(&format!("{field} = ")));
+    line.is_some_and(|damages| damages.split("  ").any(|d| d == damage))
+}
+
+#[test]
+fn each_damage_ends_the_start_with_one_plain_line_or_is_listed_as_taken() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let mut wrong = Vec::new();
+    for field in FIELDS.split_whitespace() {
+        let mut line = Vec::new();
+        for damage in DAMAGES {
+            let listen = unused_address();
+            let text = damaged(&whole(listen, discovery.address, endpoint.address), field, damage);
+            let serving = start(&text, listen) == Start::Serving;
+            if serving {
+                line.push(damage);
+            }
+            if serving != taken(field, damage) {
+                wrong.push(format!("{field} {damage}: taken {serving}"));
+            }
+        }
+        if !line.is_empty() {
+            println!("{field} = {}", line.join("  "));
+        }
+    }
+    for text in WHOLE {
+        assert_eq!(start(text, unused_address()), Start::Refused, "{text}");
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+#[test]
+fn what_would_mix_up_two_classes_or_allow_a_second_effect_is_refused() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let mut wrong = Vec::new();
+    for (what, from, to) in [
+        ("two classes of one name", "\"Name\":\"book\"", "\"Name\":\"look\""),
+        ("a class without a name", "\"Name\":\"book\"", "\"Name\":\"\""),
+        ("two tenants of one name", "[{\"Name\":\"acme\"", "[{\"Name\":\"acme\"},{\"Name\":\"acme\""),
+        ("an unknown scope of repeats", "\"DedupScope\":\"all\"", "\"DedupScope\":\"rack\""),
+        ("a window before its send", "\"KeyTtlUs\":5000000", "\"KeyTtlUs\":-9223372036854775808"),
+        ("no classes", "\"Lanes\":[", "\"Lanes\":[],\"Others\":["),
+        ("more descriptors than can be counted", "\"sockets\":1024", "\"sockets\":18446744073709551616"),
+    ] {
+        let listen = unused_address();
+        let good = config(listen, discovery.address, &list(1, true, &[("s-1", endpoint.address, "active")]));
+        let text = good.replace(from, to);
+        assert_ne!(text, good, "{what}");
+        if start(&text, listen) != Start::Refused {
+            wrong.push(what);
+        }
+    }
+    assert!(wrong.is_empty(), "taken: {wrong:?}");
+}
+
+// The repeat of a class that says nothing of who drops repeats goes to servers that surely do: those of the same cell.
+#[test]
+fn a_keyed_class_without_a_scope_is_repeated_in_its_cell_alone() {
+    let discovery = Discovery::start();
+    let endpoints = [(); 3].map(|()| Endpoint::start(|_| Reply::Close));
+    let known: Vec<_> = ["s-1", "s-2", "s-3"].into_iter().zip(&endpoints).collect();
+    let sidecar = Sidecar::start_altered(&discovery, &known, 1024, |text| {
+        let text = text.replace("\"DedupScope\":\"all\",", "");
+        (1..=3)
+            .fold(text, |text, cell| text.replacen("\"group\":1,", &format!("\"group\" :{},", cell + 1), 1))
+    });
+    // A refusal would invite the client to come again by another sidecar, to any server.
+    assert_eq!(sidecar.ask(&request("pay", "", "")).expect("an answer").status(), 502);
+    let reached: Vec<_> = endpoints.iter().map(Endpoint::requests).filter(|n| *n > 0).collect();
+    assert!(reached.len() == 1 && reached[0] > 1, "{reached:?}");
+}
+
+#[test]
+fn at_a_reload_each_damage_costs_one_line_and_the_old_configuration_stays() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let said = config_file("");
+    let log = File::create(&said).expect("a file");
+    let mut sidecar = Sidecar::start_adapted(
+        &discovery,
+        &[("s-1", &endpoint)],
+        1024,
+        |text| text,
+        |command| {
+            command.stderr(log).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+        },
+    );
+    let good = whole(sidecar.address, discovery.address, endpoint.address);
+    let fields = FIELDS.split_whitespace();
+    let all = fields.flat_map(|field| DAMAGES.map(|damage| (field, damage)));
+    let refused: Vec<_> = all.filter(|(field, damage)| !taken(field, damage)).collect();
+    let texts = refused.iter().map(|(field, damage)| damaged(&good, field, damage));
+    let lines = || {
+        let said = std::fs::read_to_string(&said).expect("text");
+        let whole = said.split_inclusive('\n').filter(|l| l.ends_with('\n') && l.contains("reload"));
+        whole.map(str::to_owned).collect::<Vec<_>>()
+    };
+    for (n, text) in texts.chain(WHOLE.map(str::to_owned)).enumerate() {
+        sidecar.reconfigure(|_| text.clone());
+        await_that("the reload is answered", || lines().len() > n);
+        let last = lines().swap_remove(n);
+        assert!(last.starts_with("tinflow: reload failed, the old configuration stays: "), "{last}: {text}");
+    }
+    assert_eq!(sidecar.process.try_wait().expect("it can be asked"), None);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
+    // Discovery is followed where it was.
+    discovery.publish(2, list(2, false, &[("s-1", endpoint.address, "leaving")]));
+    discovery.await_watch(2);
+    assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 503);
+    let _ = std::fs::remove_file(said);
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -3,6 +3,7 @@
 #[path = "../stubs/mod.rs"]
 mod stubs;
 
+mod bad_settings;
 mod connections;
 mod lists;
 mod requests;
