--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,6 +4,7 @@
 mod stubs;
 
 mod answers;
+mod bad_settings;
 mod closing;
 mod connections;
 mod cuts;
