--- a/src/bin/tinflow/engine.rs
+++ b/src/bin/tinflow/engine.rs
@@ -1,6 +1,8 @@
 //! Owns the decision module: everything that happens on the sockets becomes an event for it, and its actions
 //! are carried out. Nothing is decided here. Changes with how an event is told or an action is carried out.
 
+mod actions;
+
 use crate::alarms::Alarms;
 use crate::clock::Clock;
 use crate::config::Config;
@@ -11,15 +13,15 @@
 use crate::listed::Listed;
 #[cfg(feature = "product")]
 use crate::messages::Survey;
-use crate::messages::{Answer, Input, Inputs};
+use crate::messages::{Input, Inputs};
 use crate::open::Open;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::product::{Fleet, Observer, State};
 use crate::report::say;
 use crate::spaced::{Spaced, left_out};
-use crate::upstream::{Times, Upstream};
-use linenproxy::{Action, Balancer, Discovery, Event, ListUpdate, Micros, RequestId};
+use crate::upstream::Upstream;
+use linenproxy::{Balancer, Discovery, Event, ListUpdate};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -200,55 +202,4 @@
             }
         }
     }
-
-    /// Carries out what the module asked for at `now`.
-    fn act(&mut self, now: Micros, action: Action) {
-        match action {
-            Action::Send { request, endpoint, timeout, write_by } => {
-                let [write_by, until] =
-                    [write_by, now.saturating_add(timeout)].map(|t| self.clock.instant(t));
-                self.send(request, endpoint, Times { write_by, until });
-            }
-            Action::Refuse { request, hold_off } => self.open.answer(request, Answer::Refused(hold_off)),
-            Action::Fail(request) => self.open.answer(request, Answer::Failed),
-            Action::Cancel { request, attempt } => {
-                self.events.extend(self.open.cancel((request, attempt)));
-            }
-            Action::Probe(endpoint) => {
-                let (upstream, inputs) = (Rc::clone(&self.upstream), self.sender.clone());
-                spawn_local(upstream.probe(endpoint, inputs));
-            }
-            Action::SetTimer { after, token } => self.timers.set(after, token),
-            Action::Subscribe(on) => drop(self.asks.send(if on { Ask::Watch } else { Ask::StopWatch })),
-            Action::FetchList => drop(self.asks.send(Ask::Fetch)),
-            Action::CloseIdle(endpoint) => self.pool.endpoint(endpoint).close_idle(),
-            Action::Tell { to, bytes } => {
-                if let Some(peers) = &self.peers {
-                    peers.tell(to, &bytes);
-                }
-            }
-            Action::Witness { endpoint, served } => {
-                if let Some(fleet) = &self.fleet {
-                    fleet.witness(endpoint, served);
-                }
-            }
-            Action::Log(text) => say!(info, "tinflow::balancer", "{text}"),
-        }
-    }
-
-    fn send(&mut self, request: RequestId, endpoint: usize, times: Times) {
-        // The module holds no request that is not held here: both learn of every end in the same turn.
-        let Some((attempt, outgoing)) = self.open.next(request, self.listed.name(endpoint)) else { return };
-        let to = self.pool.endpoint(endpoint);
-        // What was decided holds for the process that is there now.
-        let attempting = Rc::clone(&self.upstream).attempt(
-            (request, attempt),
-            (to.target(), to),
-            outgoing,
-            times,
-            self.sender.clone(),
-        );
-        let task = spawn_local(attempting).abort_handle();
-        self.open.sent((request, attempt), endpoint, task);
-    }
 }
--- /dev/null
+++ b/src/bin/tinflow/engine/actions.rs
@@ -0,0 +1,63 @@
+//! Carries out what the decision module asks for. Changes with how an action is carried out.
+
+use super::Engine;
+use crate::discovery::Ask;
+use crate::messages::Answer;
+use crate::report::say;
+use crate::upstream::Times;
+use linenproxy::{Action, Micros, RequestId};
+use std::rc::Rc;
+use tokio::task::spawn_local;
+
+impl Engine {
+    /// Carries out what the module asked for at `now`.
+    pub(super) fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, endpoint, timeout, write_by } => {
+                let [write_by, until] =
+                    [write_by, now.saturating_add(timeout)].map(|t| self.clock.instant(t));
+                self.send(request, endpoint, Times { write_by, until });
+            }
+            Action::Refuse { request, hold_off } => self.open.answer(request, Answer::Refused(hold_off)),
+            Action::Fail(request) => self.open.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                self.events.extend(self.open.cancel((request, attempt)));
+            }
+            Action::Probe(endpoint) => {
+                let (upstream, inputs) = (Rc::clone(&self.upstream), self.sender.clone());
+                spawn_local(upstream.probe(endpoint, inputs));
+            }
+            Action::SetTimer { after, token } => self.timers.set(after, token),
+            Action::Subscribe(on) => drop(self.asks.send(if on { Ask::Watch } else { Ask::StopWatch })),
+            Action::FetchList => drop(self.asks.send(Ask::Fetch)),
+            Action::CloseIdle(endpoint) => self.pool.endpoint(endpoint).close_idle(),
+            Action::Tell { to, bytes } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &bytes);
+                }
+            }
+            Action::Witness { endpoint, served } => {
+                if let Some(fleet) = &self.fleet {
+                    fleet.witness(endpoint, served);
+                }
+            }
+            Action::Log(text) => say!(info, "tinflow::balancer", "{text}"),
+        }
+    }
+
+    fn send(&mut self, request: RequestId, endpoint: usize, times: Times) {
+        // The module holds no request that is not held here: both learn of every end in the same turn.
+        let Some((attempt, outgoing)) = self.open.next(request, self.listed.name(endpoint)) else { return };
+        let to = self.pool.endpoint(endpoint);
+        // What was decided holds for the process that is there now.
+        let attempting = Rc::clone(&self.upstream).attempt(
+            (request, attempt),
+            (to.target(), to),
+            outgoing,
+            times,
+            self.sender.clone(),
+        );
+        let task = spawn_local(attempting).abort_handle();
+        self.open.sent((request, attempt), endpoint, task);
+    }
+}
--- a/src/choice/list.rs
+++ b/src/choice/list.rs
@@ -5,8 +5,8 @@
 
 /// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
 const PUSH_REGAINED: Micros = 200_000;
-/// The same where lists are asked for, whatever the settings allow: a change counts as told 6 s after discovery had it and
-/// could be reached, 4 s after a reload, and a call or two may be lost before that.
+/// The same where lists are asked for, whatever the settings allow: a change counts as told 6 s after discovery
+/// had it and could be reached, 4 s after a reload, and a call or two may be lost before that.
 const ASK_REGAINED: Micros = 400_000;
 
 impl Balancer {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod api;
 mod choice;
+mod log;
 mod memory;
 #[cfg(feature = "settings")]
 pub mod settings;
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,14 +3,13 @@
 
 mod endpoint;
 mod fleet;
-mod log;
 mod request;
 mod timers;
 
 pub use crate::api::*;
+pub use crate::log::*;
 pub use endpoint::*;
 pub use fleet::*;
-pub use log::*;
 pub use request::*;
 pub use timers::*;
 
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 /// Lines that are not blank, of all policy files together: below what operators run, so that a mend has room.
-const MOST_IN_ALL: usize = 1165;
+const MOST_IN_ALL: usize = 1150;
 /// Lines of one file.
 const MOST_OF_ONE: usize = 250;
 /// Characters of a line.
--- a/tests/sidecar/answers.rs
+++ b/tests/sidecar/answers.rs
@@ -68,7 +68,9 @@
 }
 
 /// Bytes of an answer, what its endpoint does then, and what the client gets: 200 with the body `whole`, or 502.
-const FORMS: [(&str, fn() -> Then, u16); 15] = [
+type Form = (&'static str, fn() -> Then, u16);
+
+const FORMS: [Form; 15] = [
     // A reset is no end, a close is one, where no length was told.
     ("HTTP/1.1 200 OK\r\n\r\nwhole", || Then::Close, 200),
     ("HTTP/1.1 200 OK\r\n\r\nwhole", || Then::Reset, 502),
