Hold by tests: crowds while discovery is down, and what no request can be made of

Need: both were judged right by reading: descriptors for discovery and the endpoints are apart from the clients' (`Limits::of`), and what is malformed ends its connection without reaching an endpoint.

--- a/tests/sidecar/connections.rs
+++ b/tests/sidecar/connections.rs
@@ -97,3 +97,60 @@
     assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
     assert_eq!(endpoint.requests(), 2);
 }
+
+// Discovery and the endpoints have descriptors of their own, which clients can't take.
+#[test]
+fn idle_clients_that_fill_the_descriptors_while_discovery_is_down_cost_no_service_after_it_is_back() {
+    let discovery = Discovery::start();
+    let (old, new) = (Endpoint::start(|_| ok("old")), Endpoint::start(|_| ok("new")));
+    let sidecar = Sidecar::start_with(&discovery, &[("s-old", &old)], 64, 64);
+    discovery.failing.store(true, Ordering::SeqCst);
+    let calls = discovery.calls().len();
+    let crowd: Vec<_> = (0..200).map(|_| sidecar.connect()).collect();
+    await_that("discovery is still called", || discovery.calls().len() >= calls + 3);
+    assert_eq!(sidecar.ask(&request("look", "", "")).expect("an answer").body, b"old");
+    let changes = [("s-old", old.address, "leaving"), ("s-new", new.address, "active")];
+    discovery.publish(2, list(2, false, &changes));
+    discovery.failing.store(false, Ordering::SeqCst);
+    discovery.await_watch(2);
+    assert_eq!(sidecar.ask(&request("look", "", "")).expect("an answer").body, b"new");
+    drop(crowd);
+}
+
+#[test]
+fn what_no_request_can_be_made_of_ends_its_connection_and_reaches_nobody() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let good = request("book", "", "");
+    let chunked = good.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let bad = [
+        good.replace("Content-Length: 0", "Content-Length: 1\r\nContent-Length: 2") + "ab",
+        good.replace("Content-Length: 0", "Content-Length: -1"),
+        good.replace("Content-Length: 0", "Content-Length: 99999999999999999999"),
+        good.replace("Content-Length: 0", "Transfer-Encoding: odd"),
+        good.replace("HTTP/1.1", "HTTP/9.9"),
+        good.replace("X-Account: ", "X-Account\0: "),
+        chunked.clone() + "zz\r\n",
+        chunked + "5\r\nabc",
+        good.replace("Content-Length: 0", "Content-Length: 5") + "abc",
+        "\r\n".repeat(1000),
+        "\0".repeat(1000),
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_owned(),
+    ];
+    let connected = bad.map(|bad| {
+        let mut peer = sidecar.connect();
+        peer.write_all(bad.as_bytes()).expect("the system takes it");
+        (bad, peer)
+    });
+    for (bad, mut peer) in connected {
+        assert!(await_close(&mut peer), "a connection stayed open after {bad:?}");
+    }
+    assert_eq!(endpoint.requests(), 0);
+    // What comes behind a request is no part of it, and ends the connection alone.
+    let mut client = sidecar.connect();
+    client.write_all((good + "\0\0\0\r\n\r\n").as_bytes()).expect("the sidecar takes it");
+    assert_eq!(read_message(&mut client).expect("an answer").status(), 200);
+    assert_eq!(read_message(&mut client).expect("an error").status(), 400);
+    assert!(await_close(&mut client));
+}
