--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -9,6 +9,7 @@
 mod holding;
 mod message;
 mod sidecar;
+mod stop;
 
 pub use agent::*;
 pub use discovery::*;
@@ -21,6 +22,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
+pub use stop::*;
 
 /// Generous: nothing here asserts speed.
 pub const LONG: Duration = Duration::from_secs(30);
