Wait for the held dial to be accepted before its absence is a failure

Cause: two tests asked at once whether the stub had accepted the late connection.

Change: both wait for the second connection, as strictly, and only then look at what it brought.

--- a/tests/sidecar/handovers.rs
+++ b/tests/sidecar/handovers.rs
@@ -29,7 +29,7 @@
     discovery.await_watch(3);
     let endpoint = Endpoint::on(held.release(), |_| ok("by the new process"));
     assert_eq!(read_message(&mut client).expect("an answer").status(), 503, "known not to have run");
-    assert!(endpoint.made.load(Ordering::SeqCst) >= 2, "the dial never came up");
+    await_that("the dial comes up", || endpoint.made.load(Ordering::SeqCst) >= 2);
     assert_eq!(endpoint.requests(), 0);
 }
 
--- a/tests/sidecar/lists.rs
+++ b/tests/sidecar/lists.rs
@@ -70,7 +70,7 @@
     let endpoint = Endpoint::on(listener, |_| ok("too late"));
     let status = read_message(&mut client).expect("an answer").status();
     assert_eq!(status, 503, "known not to have run");
-    assert!(endpoint.made.load(Ordering::SeqCst) >= 2, "the dial never came up");
+    await_that("the dial comes up", || endpoint.made.load(Ordering::SeqCst) >= 2);
     assert_eq!(endpoint.requests(), 0);
 }
 
