--- a/tests/sidecar/answers.rs
+++ b/tests/sidecar/answers.rs
@@ -68,30 +68,30 @@
 }
 
 /// Bytes of an answer, what its endpoint does then, and what the client gets: 200 with the body `whole`, or 502.
-const FORMS: [(&str, fn() -> Then, u16); 15] = [
+const FORMS: [(&str, Then, u16); 15] = [
     // A reset is no end, a close is one, where no length was told.
-    ("HTTP/1.1 200 OK\r\n\r\nwhole", || Then::Close, 200),
-    ("HTTP/1.1 200 OK\r\n\r\nwhole", || Then::Reset, 502),
-    ("HTTP/1.0 200 OK\r\n\r\nwhole", || Then::Close, 200),
-    ("HTTP/1.0 200 OK\r\n\r\nwhole", || Then::Reset, 502),
-    ("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwhole", || Then::Close, 502),
-    ("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwhole", || Then::Reset, 502),
-    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", || Then::KeepOn, 200),
-    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", || Then::Close, 502),
-    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", || Then::Close, 502),
-    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\nwhole\r\n0\r\n\r\n", || Then::KeepOn, 502),
-    ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nwhole", || Then::KeepOn, 502),
-    ("HTTP/1.1 200 OK\r\nContent-Length: 5 5\r\n\r\nwhole", || Then::KeepOn, 502),
-    ("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole", || Then::KeepOn, 200),
-    ("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", || Then::KeepOn, 200),
-    ("HTTP/1.1 20", || Then::Close, 502),
+    ("HTTP/1.1 200 OK\r\n\r\nwhole", Then::Close, 200),
+    ("HTTP/1.1 200 OK\r\n\r\nwhole", Then::Reset, 502),
+    ("HTTP/1.0 200 OK\r\n\r\nwhole", Then::Close, 200),
+    ("HTTP/1.0 200 OK\r\n\r\nwhole", Then::Reset, 502),
+    ("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwhole", Then::Close, 502),
+    ("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwhole", Then::Reset, 502),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", Then::KeepOn, 200),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", Then::Close, 502),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", Then::Close, 502),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\nwhole\r\n0\r\n\r\n", Then::KeepOn, 502),
+    ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nwhole", Then::KeepOn, 502),
+    ("HTTP/1.1 200 OK\r\nContent-Length: 5 5\r\n\r\nwhole", Then::KeepOn, 502),
+    ("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole", Then::KeepOn, 200),
+    ("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", Then::KeepOn, 200),
+    ("HTTP/1.1 20", Then::Close, 502),
 ];
 
 #[test]
 fn an_answer_is_whole_or_the_request_has_failed() {
     for (bytes, then, status) in FORMS {
         let discovery = Discovery::start();
-        let endpoint = Endpoint::start(move |_| Reply::bytes(bytes, then()));
+        let endpoint = Endpoint::start(move |_| Reply::bytes(bytes, then));
         let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
         let served = sidecar.ask(&request("book", "", "{}")).expect("an answer");
         assert_eq!(served.status(), status, "{bytes}");
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod connections;
 mod dials;
+mod idle;
 mod lists;
 mod requests;
 mod restarts;
--- a/tests/stubs/endpoint.rs
+++ b/tests/stubs/endpoint.rs
@@ -26,6 +26,7 @@
 }
 
 /// What becomes of a connection.
+#[derive(Clone, Copy)]
 pub enum Then {
     /// It serves the next request.
     KeepOn,
