--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -12,6 +12,7 @@
 mod draining;
 mod extremes;
 mod handovers;
+mod idle;
 mod leaving;
 mod list_forms;
 mod lists;
