Start and reload though the known list cannot be read at all

Cause: config.rs: a "known" that is no list ("17", no entries, an index that is text) failed the whole file: the program did not start, and a reload that moved discovery was dropped, though it does not use that list. Change: such a list is left out with one line in the log, and discovery is asked for the whole one.

--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -2,6 +2,7 @@
 //! Changes with the platform's form of them.
 
 use crate::hosts::HostList;
+use crate::report::say;
 use linenproxy::settings::{self, Decoded};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -52,7 +53,7 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
-    known: Option<HostList>,
+    known: Option<serde_json::Value>,
     settings: Box<RawValue>,
 }
 
@@ -124,7 +125,7 @@
             peer_listen: file.peer_listen,
             peers: file.peers,
             peers_all: file.peers_all,
-            known: file.known,
+            known: file.known.and_then(known),
             decoded,
             fixed,
         })
@@ -137,6 +138,13 @@
     }
 }
 
+/// The list as last known; discovery is asked for the whole one where it cannot be read.
+fn known(list: serde_json::Value) -> Option<HostList> {
+    serde_json::from_value(list)
+        .inspect_err(|e| say!(warn, "tinflow", "LB_CONFIG: the known list cannot be read: {e}"))
+        .ok()
+}
+
 /// The seed is 16 hexadecimal digits; any other text is a seed as well.
 fn seed(text: &str) -> u64 {
     u64::from_str_radix(text, 16)
