--- a/src/choice/list.rs
+++ b/src/choice/list.rs
@@ -3,11 +3,10 @@
 use crate::state::*;
 use std::collections::BTreeSet;
 
-/// Longest wait before a broken push of the list is asked for anew; the first is at most an eighth of it.
-const PUSH_REGAINED: Micros = 200_000;
-/// The same where lists are asked for, whatever the settings allow: a change counts as told 6 s after discovery had it and
-/// could be reached, 4 s after a reload, and a call or two may be lost before that.
-const ASK_REGAINED: Micros = 400_000;
+/// Longest wait (us) before a broken push is asked for anew; the first is an eighth of it or less.
+const PUSH_WAIT: f64 = 200_000.0;
+/// The same where lists are asked for: with it two calls may be lost before a change counts as told.
+const ASK_WAIT: f64 = 400_000.0;
 
 impl Balancer {
     /// Follows the list. Draining, gone and missing endpoints get nothing from now on.
@@ -16,11 +15,8 @@
             ListUpdate::Failed => {
                 self.fleet.ask_failures += 1;
                 // Where changes are pushed, what is missed counts as told, and asking costs nobody anything.
-                let allowed = match self.set.discovery {
-                    Discovery::OnRequest => self.set.rules.ask_within / 2,
-                    Discovery::Pushed => PUSH_REGAINED,
-                };
-                let most = allowed.clamp(PUSH_REGAINED, ASK_REGAINED) as f64;
+                let (pushed, asked) = (self.set.discovery == Discovery::Pushed, self.set.rules.ask_within);
+                let most = if pushed { PUSH_WAIT } else { (asked as f64 / 2.0).clamp(PUSH_WAIT, ASK_WAIT) };
                 let grown = (most / 16.0 * f64::from(1u32 << self.fleet.ask_failures.min(8))).min(most);
                 let delay = grown * (0.5 + 0.5 * self.rng.f64());
                 return self.timers.at(later(now, delay), Wake::Discover);
