Test one build under two settings: what clients and servers see follows the own settings

Need: nothing of one deployment's settings may show in another.

tests/sidecar/two_settings.rs starts two sidecars of one build before the same four servers, under settings that share class names with other effects, and sends both the same requests. Compared: which classes are known (400 else), effect and form of each, accounts that are no tenant (served), MaxAttempts (4 and 2 attempts counted), Retry-After (a quarter of the aim held to MaxRetryAfterUs, or none), an unsafe class on a broken connection (1 attempt, 502) against a safe one (2, 503), windows for repeats (over at once: 1 attempt), the scope of repeats (any server and 503, or one cell and 502), heads at the servers (alike but for X-Time-Left), and the order of the last answers after SIGTERM (by the longest deadline). Verdicts are counts and order.

No fault was found by it.

--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -9,6 +9,7 @@
 mod requests;
 mod starting;
 mod stopping;
+mod two_settings;
 
 use stubs::*;
 
