--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -5,6 +5,7 @@
 
 mod circuits;
 mod cold;
+mod cold_fleet;
 mod crowd;
 mod ends;
 mod lines;
