--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -24,6 +24,7 @@
 mod room;
 mod starting;
 mod stopping;
+mod two_settings;
 mod watches;
 
 use stubs::*;
