Keep the tests' addresses until their sidecars listen there: they were let go of before

Cause (tests/stubs/mod.rs, unused_address()): it bound a listener, noted its port and closed it. A process that another test's thread is just starting holds every socket of the test's process from its fork to its exec, close-on-exec or not. Where one was started between that bind and that close, and the machine was late with its exec, the port was still listened on as the sidecar came to bind it: it ended with "cannot listen", and the stub asked a closed port for /up until its 30 s were out ("it never came that the sidecar is up", as `a_silent_endpoint_costs_no_client_its_answer` once said). Ruled out by reading: the same port for two tests (a host for each address), a source port in the way (connections here come from 127.0.0.1), an interrupted read of /up (it is asked again). Change: an address is a socket that is bound, does not listen and allows reuse. The system gives its port to nobody else, whoever dials is refused, and the sidecar, which allows reuse, listens there as often as it likes; a copy in a child is in nobody's way. A sidecar holds its own for its life, the others are held until the test's process ends. Addresses for datagrams come from the same place, on a host where nothing else listens for datagrams: they were let go of in the same way (tests/product/fleet.rs).

--- a/tests/product/fleet.rs
+++ b/tests/product/fleet.rs
@@ -5,11 +5,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// A free address for datagrams.
-fn unused_datagrams() -> SocketAddr {
-    std::net::UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a free port")
-}
-
 fn member(listen: SocketAddr, seed: SocketAddr, page: SocketAddr) -> File {
     let fleet = format!("[fleet]\nenabled = true\nlisten = \"{listen}\"\nseeds = [\"{seed}\"]\n");
     File::new(&metrics(page, &fleet))
--- a/tests/sidecar/starting.rs
+++ b/tests/sidecar/starting.rs
@@ -2,6 +2,9 @@
 
 use crate::ok;
 use crate::stubs::*;
+use socket2::{Domain, Socket, Type};
+use std::io::ErrorKind;
+use std::net::{TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 
 #[test]
@@ -48,3 +51,16 @@
     await_that("discovery is followed", || !other.calls().is_empty() || sidecar.process.id() == 0);
     assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
 }
+
+// A port that was noted and let go of would be found in use by some of the sidecars that are to listen there.
+#[test]
+fn an_unused_address_is_kept_from_others_until_a_sidecar_listens_there() {
+    let at = unused_address();
+    let refused = TcpStream::connect(at).expect_err("nobody listens").kind();
+    assert_eq!(refused, ErrorKind::ConnectionRefused);
+    // Who does not allow reuse asks for a port as the system does that picks a free one.
+    let other = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    assert_eq!(other.bind(&at.into()).expect_err("it is kept").kind(), ErrorKind::AddrInUse);
+    let _listener = TcpListener::bind(at).expect("it is kept for a listener that allows reuse");
+    TcpStream::connect(at).expect("it listens");
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -11,8 +11,10 @@
 pub use endpoint::*;
 pub use message::*;
 pub use sidecar::*;
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use socket2::{Domain, Socket, Type};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,13 +30,53 @@
     }
 }
 
+/// The host of whatever listens for connections.
+const LOCALHOST: [u8; 4] = [127, 0, 0, 1];
+/// The host of whatever listens for datagrams at an address that was kept for it, and of nothing else.
+const DATAGRAMS: [u8; 4] = [127, 0, 0, 2];
+
 static STARTED: AtomicU64 = AtomicU64::new(0);
 
-/// An address at which nobody listens. Its host is used once: other tests' sockets can't take the port.
+/// Keeps an address: nobody listens there, and the system gives its port to nobody else.
+///
+/// A port that was only noted and let go of may be given to another process before the one that it is meant for has
+/// started; and a process that is just being started still holds every socket of the one that starts it. So this is a
+/// bound socket that does not listen and allows reuse: a sidecar, which allows reuse as well, may listen there, again
+/// and again.
+pub struct Reserved {
+    pub address: SocketAddr,
+    _socket: Socket,
+}
+
+impl Reserved {
+    /// Keeps an address of that loopback host.
+    pub fn on(host: [u8; 4]) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_reuse_address(true).expect("a socket may be bound again");
+        let any = SocketAddr::from((host, 0));
+        socket.bind(&any.into()).expect("a free port");
+        let address = socket.local_addr().expect("an address").as_socket().expect("an address of IPv4");
+        Self { address, _socket: socket }
+    }
+}
+
+/// An address at which nobody listens. It is kept until this process ends: no other socket takes the port.
 pub fn unused_address() -> SocketAddr {
-    let (number, process) = (STARTED.fetch_add(1, Ordering::SeqCst), std::process::id());
-    let host = format!("127.{}.{}.{}:0", 1 + number % 250, process / 250 % 250, 1 + process % 250);
-    TcpListener::bind(host).and_then(|l| l.local_addr()).expect("a free port")
+    kept(LOCALHOST)
+}
+
+/// An address at which nobody listens for datagrams. Whoever does so on this host has the port from here, and so from
+/// the system, which gives each one out once.
+pub fn unused_datagrams() -> SocketAddr {
+    kept(DATAGRAMS)
+}
+
+fn kept(host: [u8; 4]) -> SocketAddr {
+    static KEPT: Mutex<Vec<Reserved>> = Mutex::new(Vec::new());
+    let reserved = Reserved::on(host);
+    let address = reserved.address;
+    KEPT.lock().expect("no holder panics").push(reserved);
+    address
 }
 
 /// Whether some process here is trying to connect to that port (state 2 of the system's table: SYN sent).
--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -3,7 +3,7 @@
 use super::discovery::{Discovery, list};
 use super::endpoint::Endpoint;
 use super::message::{Message, read_message};
-use super::{STARTED, await_that, unused_address};
+use super::{LOCALHOST, Reserved, STARTED, await_that};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -24,6 +24,8 @@
     pub address: SocketAddr,
     pub process: Child,
     config: PathBuf,
+    /// Its address stays its own while it is down.
+    _reserved: Reserved,
 }
 
 /// Writes a configuration file of its own.
@@ -79,7 +81,8 @@
         adapt: impl FnOnce(&mut Command),
     ) -> Self {
         let known: Vec<_> = endpoints.iter().map(|(name, e)| (*name, e.address, "active")).collect();
-        let address = unused_address();
+        let reserved = Reserved::on(LOCALHOST);
+        let address = reserved.address;
         let config = config(address, discovery.address, &list(1, true, &known));
         let config = config_file(&alter(config));
         let mut command = Command::new("/bin/sh");
@@ -91,7 +94,7 @@
             .stdin(Stdio::null());
         adapt(&mut command);
         let process = command.spawn().expect("the sidecar starts");
-        let sidecar = Self { address, process, config };
+        let sidecar = Self { address, process, config, _reserved: reserved };
         let up = || {
             let mut stream = TcpStream::connect(address).ok()?;
             stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
