Say at once that a sidecar has ended at its start, and let one lost look cost one look

Cause (tests/stubs/sidecar.rs, start_adapted()): the wait for readiness never looked at the process, so one that had ended was waited for during 30 s and the verdict said nothing of why; and a look read with a time-out of the same 30 s, so a connection that was accepted and never answered took the whole wait. Change: a start whose process has ended fails with its status at once; a look takes a second at most.

--- a/tests/stubs/message.rs
+++ b/tests/stubs/message.rs
@@ -3,6 +3,7 @@
 use super::LONG;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// An HTTP message as it came in.
 #[derive(Clone, Debug)]
@@ -24,7 +25,12 @@
 
 /// Reads one message; `None` once the other side has closed or reset the connection, or said nothing for long.
 pub fn read_message(stream: &mut TcpStream) -> Option<Message> {
-    stream.set_read_timeout(Some(LONG)).expect("a time-out can be set");
+    read_message_within(stream, LONG)
+}
+
+/// The same where nothing may be said for that long.
+pub fn read_message_within(stream: &mut TcpStream, silence: Duration) -> Option<Message> {
+    stream.set_read_timeout(Some(silence)).expect("a time-out can be set");
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -2,13 +2,15 @@
 
 use super::discovery::{Discovery, list};
 use super::endpoint::Endpoint;
-use super::message::{Message, read_message};
-use super::{LOCALHOST, Reserved, STARTED, await_that};
+use super::message::{Message, read_message, read_message_within};
+use super::{LOCALHOST, LONG, Reserved, STARTED};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// The settings of these tests. Classes: `look` (safe), `book` (unsafe), `pay` (keyed).
 pub const SETTINGS: &str = r#"{"Balancers":1,"Discovery":"on_request","Index":0,
@@ -19,6 +21,11 @@
 "Rules":{"AskWithinUs":2000000,"ColdShare":0.3,"OverloadFactor":3.0,"TipAfterUs":1500000,"WarmWithinUs":8900000},
 "Tenants":[{"Name":"acme","QuotaPerS":98.0,"Share":1.0}],"TickUs":5000,"WeightSource":"nominal","Zone":"a","Zones":["a"]}"#;
 
+/// Pause between two looks at a process.
+const LOOK: Duration = Duration::from_millis(5);
+/// How long one look at a sidecar that starts may take, so that a connection that is lost costs one look alone.
+const LOOK_WITHIN: Duration = Duration::from_secs(1);
+
 /// A sidecar's process.
 pub struct Sidecar {
     pub address: SocketAddr,
@@ -94,16 +101,28 @@
             .stdin(Stdio::null());
         adapt(&mut command);
         let process = command.spawn().expect("the sidecar starts");
-        let sidecar = Self { address, process, config, _reserved: reserved };
-        let up = || {
-            let mut stream = TcpStream::connect(address).ok()?;
-            stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
-            read_message(&mut stream)
-        };
-        await_that("the sidecar is up", || up().is_some_and(|m| m.status() == 200));
+        let mut sidecar = Self { address, process, config, _reserved: reserved };
+        sidecar.await_up();
         sidecar
     }
 
+    /// Waits until it says that it is ready, which one that has ended never does.
+    fn await_up(&mut self) {
+        let until = Instant::now() + LONG;
+        while !self.up().is_some_and(|answer| answer.status() == 200) {
+            let ended = self.process.try_wait().expect("its state");
+            assert!(ended.is_none(), "the sidecar at {} ended as it started: {ended:?}", self.address);
+            assert!(Instant::now() < until, "it never came that the sidecar is up");
+            thread::sleep(LOOK);
+        }
+    }
+
+    fn up(&self) -> Option<Message> {
+        let mut stream = TcpStream::connect_timeout(&self.address, LOOK_WITHIN).ok()?;
+        stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
+        read_message_within(&mut stream, LOOK_WITHIN)
+    }
+
     /// One request on a connection of its own.
     pub fn ask(&self, request: &str) -> Option<Message> {
         let mut stream = self.connect();
