Keep the ports of the tests' stewards while they are not listened on

All ports were bound, noted and closed before the first steward was started, and a steward that is killed leaves its port to whoever asks next, while the others go on dialling it. Change: each port is held by a bound socket that does not listen and allows reuse. Found by reading; no failure was seen.

--- a/crates/steward/tests/process/crew.rs
+++ b/crates/steward/tests/process/crew.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpSocket;
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_linenproxy-steward");
 /// A machine under load takes its time; a verdict never rests on how long.
@@ -14,6 +15,8 @@
 
 pub struct Crew {
     pub at: Vec<SocketAddr>,
+    /// Their addresses, which stay their own while they are down.
+    _kept: Vec<TcpSocket>,
     folder: tempfile::TempDir,
     running: Vec<Option<Child>>,
 }
@@ -68,6 +71,16 @@
     at
 }
 
+/// Keeps a port for a steward: a bound socket that does not listen and allows reuse, so that the system gives the port to
+/// nobody else and the steward, which allows reuse as well, may listen there. One that was noted and let go of would now
+/// and then be found in use, by other processes or by one just being started, which still holds all sockets of this one.
+fn keep() -> TcpSocket {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseaddr(true).expect("it may be bound again");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    socket
+}
+
 /// A steward's file.
 pub fn text(folder: &Path, own: usize, at: &[SocketAddr], platform: u16) -> String {
     let data = folder.join(format!("s{own}.data"));
@@ -83,16 +96,14 @@
 impl Crew {
     pub fn start(size: usize) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let ports: Vec<TcpListener> =
-            (0..size).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-        let at: Vec<SocketAddr> = ports.iter().map(|p| p.local_addr().expect("an address")).collect();
-        drop(ports);
+        let kept: Vec<TcpSocket> = (0..size).map(|_| keep()).collect();
+        let at: Vec<SocketAddr> = kept.iter().map(|k| k.local_addr().expect("an address")).collect();
         let platform = platform().port();
         for own in 0..size {
             let file = folder.path().join(format!("s{own}.toml"));
             fs::write(file, text(folder.path(), own, &at, platform)).expect("it is written");
         }
-        let mut crew = Self { at, folder, running: (0..size).map(|_| None).collect() };
+        let mut crew = Self { at, _kept: kept, folder, running: (0..size).map(|_| None).collect() };
         (0..size).for_each(|n| crew.run(n));
         wait_for("all have a voice and one leads", || {
             (0..size).all(|n| crew.status(n)["voters"].as_array().is_some_and(|all| all.len() == size))
