Bound the tests' waits that had no end

Cause: a sidecar or steward that does not end, a pipe that is not filled or not closed, and a page that is never answered were waited for for good (process.wait(), read_exact(), read_to_string()): a fault there would hang the whole run and name no test. Change: each wait has the stubs' usual bound and says what never came. No verdict changes.

--- a/crates/steward/tests/process/crew.rs
+++ b/crates/steward/tests/process/crew.rs
@@ -153,7 +153,13 @@
     pub fn stop(&mut self, steward: usize) -> bool {
         let Some(mut child) = self.running[steward].take() else { return false };
         let told = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
-        told.is_ok_and(|told| told.success()) && child.wait().is_ok_and(|ended| ended.code() == Some(0))
+        assert!(told.is_ok_and(|told| told.success()), "it cannot be told");
+        let mut ended = None;
+        wait_for("it ends", || {
+            ended = child.try_wait().expect("its state");
+            ended.is_some()
+        });
+        ended.and_then(|ended| ended.code()) == Some(0)
     }
 
     pub fn empty(&self, steward: usize) {
--- a/tests/product/harness.rs
+++ b/tests/product/harness.rs
@@ -89,6 +89,7 @@
 /// Reads a page of the metrics' address; empty where the reader is turned away.
 pub fn page(at: SocketAddr, path: &str) -> String {
     let Ok(mut stream) = TcpStream::connect(at) else { return String::new() };
+    stream.set_read_timeout(Some(LONG)).expect("a time-out can be set");
     let mut text = String::new();
     if stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes()).is_ok() {
         let _ = stream.read_to_string(&mut text);
--- a/tests/product/logs.rs
+++ b/tests/product/logs.rs
@@ -45,11 +45,17 @@
     }
     let mut pipe = sidecar.process.stderr.take().expect("it is a pipe");
     // Its capacity is 64 KiB; the rest of 1,000 requests' lines is gone. Room makes it speak again, with the count.
-    pipe.read_exact(&mut vec![0; 48 << 10]).expect("it was filled");
+    let mut pipe = within_long("the pipe is filled", move || {
+        pipe.read_exact(&mut vec![0; 48 << 10]).expect("it was filled");
+        pipe
+    });
     assert_eq!(ask(&sidecar), 200);
     sidecar.terminate();
-    let mut rest = String::new();
-    pipe.read_to_string(&mut rest).expect("text until it ends");
+    let rest = within_long("the process ends", move || {
+        let mut rest = String::new();
+        pipe.read_to_string(&mut rest).expect("text until it ends");
+        rest
+    });
     assert!(rest.contains("lines dropped, standard error did not take them\n"), "{rest}");
     assert!(rest.ends_with("tinflow: told to stop\n"), "{rest}");
     assert!(rest.lines().skip(1).all(|line| line.starts_with("tinflow: ")), "a line is not whole: {rest}");
--- a/tests/product/state.rs
+++ b/tests/product/state.rs
@@ -99,7 +99,7 @@
     assert_eq!((figure(at, "tinflow_state_failing "), said.count("nothing is kept for now")), (1.0, 1));
     sidecar.terminate();
     let mut sidecar = sidecar;
-    assert!(sidecar.process.wait().expect("it ends").success());
+    assert!(sidecar.await_end().success());
 }
 
 #[test]
@@ -142,7 +142,7 @@
     incarnation(&said);
     assert!(said.count("ended without a word") == 1, "{}", said.text());
     sidecar.terminate();
-    assert!(sidecar.process.wait().expect("it ends").success());
+    assert!(sidecar.await_end().success());
     let (_sidecar, said) = start_named("n1", &discovery, &endpoint, &file);
     incarnation(&said);
     assert_eq!(said.count("the last life ended cleanly"), 1, "{}", said.text());
--- a/tests/sidecar/stopping.rs
+++ b/tests/sidecar/stopping.rs
@@ -21,7 +21,7 @@
     let answer = read_message(&mut held).expect("an answer");
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     assert!(await_close(&mut held));
-    assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0));
+    assert_eq!(sidecar.await_end().code(), Some(0));
 }
 
 #[test]
@@ -34,7 +34,7 @@
     await_that("the request is out", || endpoint.requests() == 1);
     sidecar.terminate();
     assert_eq!(read_message(&mut held).expect("an answer").status(), 502);
-    assert_eq!(sidecar.process.wait().expect("it ends").code(), Some(0));
+    assert_eq!(sidecar.await_end().code(), Some(0));
 }
 
 // What it still holds may be sent on by the list until it ends.
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -13,8 +13,8 @@
 pub use sidecar::*;
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -30,6 +30,13 @@
     }
 }
 
+/// Does something that may hang for good, for as long as anything here is waited for.
+pub fn within_long<T: Send + 'static>(what: &str, act: impl FnOnce() -> T + Send + 'static) -> T {
+    let (done, result) = mpsc::channel();
+    thread::spawn(move || done.send(act()));
+    result.recv_timeout(LONG).unwrap_or_else(|_| panic!("it never came that {what}"))
+}
+
 /// The host of whatever listens for connections.
 const LOCALHOST: [u8; 4] = [127, 0, 0, 1];
 /// The host of whatever listens for datagrams at an address that was kept for it, and of nothing else.
--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -7,7 +7,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -123,6 +123,18 @@
         read_message_within(&mut stream, LOOK_WITHIN)
     }
 
+    /// Waits until its process has ended by itself.
+    pub fn await_end(&mut self) -> ExitStatus {
+        let until = Instant::now() + LONG;
+        loop {
+            if let Some(status) = self.process.try_wait().expect("its state") {
+                return status;
+            }
+            assert!(Instant::now() < until, "it never came that the sidecar ends");
+            thread::sleep(LOOK);
+        }
+    }
+
     /// One request on a connection of its own.
     pub fn ask(&self, request: &str) -> Option<Message> {
         let mut stream = self.connect();
