Have a process of the lab ended once the lab lets go of it, not only told to end

Cause (crates/lab/src/supervisor.rs, kill_on_drop): SIGKILL says that a process is to end; it goes on until it has a turn on a processor. The lab let go of its sidecars, removed its folder and ended without waiting, so that on a busy machine a sidecar outlived it for a moment. That is what `a_sidecar_that_hangs_or_crashes_at_its_start_ends_the_run_and_all_others` once saw, and the lab promises otherwise.

--- a/crates/lab/src/stewards/process.rs
+++ b/crates/lab/src/stewards/process.rs
@@ -1,14 +1,13 @@
 //! One steward's process over all its lives, and its disk. Changes with what may happen to a process and its files.
 
 use super::data;
-use crate::supervisor::Bringing;
+use crate::supervisor::{Bringing, Running};
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use std::fs::{self, OpenOptions};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
-use tokio::process::Child;
 use tokio::time::timeout;
 
 /// How long it may take to end when it is told to.
@@ -20,7 +19,7 @@
     config: PathBuf,
     log: PathBuf,
     data: PathBuf,
-    child: Option<Child>,
+    child: Option<Running>,
 }
 
 impl Steward {
@@ -42,18 +41,18 @@
         let log = || OpenOptions::new().append(true).open(&self.log).map(Stdio::from);
         let mut command = self.bringing.command_that_outlives_full_disks();
         command.arg("--config").arg(&self.config).env_clear().stdin(Stdio::null());
-        command.stdout(log()?).stderr(log()?).kill_on_drop(true);
-        self.child = Some(command.spawn()?);
+        command.stdout(log()?).stderr(log()?);
+        self.child = Some(Running::start(&mut command)?);
         Ok(())
     }
 
     /// Whether its process runs.
     pub(super) fn runs(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        self.child.as_mut().is_some_and(|child| matches!(child.ended(), Ok(None)))
     }
 
     fn pid(&self) -> Option<Pid> {
-        let id = self.child.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
+        let id = self.child.as_ref().and_then(Running::id).and_then(|id| i32::try_from(id).ok());
         id.and_then(Pid::from_raw)
     }
 
@@ -88,7 +87,7 @@
         self.signal(Signal::CONT);
         self.signal(Signal::TERM);
         if let Some(mut child) = self.child.take()
-            && timeout(STOPS_WITHIN, child.wait()).await.is_err()
+            && timeout(STOPS_WITHIN, child.end()).await.is_err()
         {
             let _ = child.kill().await;
         }
--- a/crates/lab/src/supervisor.rs
+++ b/crates/lab/src/supervisor.rs
@@ -3,6 +3,7 @@
 
 mod bringing;
 mod release;
+mod running;
 mod told;
 
 use crate::experiment::Variant;
@@ -11,6 +12,7 @@
 pub use bringing::{Bringing, KEEP, keep};
 use linenproxy_common::process::usage_of;
 use release::Other;
+pub(crate) use running::Running;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::fs::{self, File, OpenOptions};
@@ -21,7 +23,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::process::Child;
 use tokio::time::{Instant, sleep, timeout};
 pub use told::Told;
 
@@ -43,7 +44,7 @@
     platform: PathBuf,
     log: PathBuf,
     seed: u64,
-    child: Option<Child>,
+    child: Option<Running>,
     clock: Clock,
     record: Record,
     spent: Spent,
@@ -92,7 +93,7 @@
 
     /// Its process, while one runs.
     pub fn id(&self) -> Option<u32> {
-        self.child.as_ref().and_then(Child::id)
+        self.child.as_ref().and_then(Running::id)
     }
 
     /// Starts it; [`Supervised::ready`] tells when it can be used.
@@ -115,12 +116,11 @@
             .env("LB_DISCOVERY", self.told.discovery.to_string())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(Stdio::from(log))
-            .kill_on_drop(true);
+            .stderr(Stdio::from(log));
         if let Some(product) = &self.product {
             command.env("LINENPROXY_CONFIG", product);
         }
-        self.child = Some(command.spawn()?);
+        self.child = Some(Running::start(&mut command)?);
         Ok(())
     }
 
@@ -145,7 +145,7 @@
 
     /// How it has ended, if it has.
     pub fn ended(&mut self) -> Option<ExitStatus> {
-        self.child.as_mut().and_then(|child| child.try_wait().ok().flatten())
+        self.child.as_mut().and_then(|child| child.ended().ok().flatten())
     }
 
     /// Its log's last line.
@@ -194,7 +194,7 @@
         let sidecar = self.told.sidecar;
         self.record.note(self.clock.now(), Seen::SidecarTold { sidecar });
         let Some(mut child) = self.child.take() else { return };
-        let ended = timeout(STOPS_WITHIN + STOP_SLACK, child.wait()).await;
+        let ended = timeout(STOPS_WITHIN + STOP_SLACK, child.end()).await;
         let (killed, what) = match ended {
             Ok(Ok(status)) if status.success() => (false, None),
             Ok(Ok(status)) => (false, Some(format!("ended badly when it was told to stop: {status}"))),
--- a/crates/lab/tests/leftovers.rs
+++ b/crates/lab/tests/leftovers.rs
@@ -1,5 +1,9 @@
 //! However a lab ends, nothing that it started goes on, and no folder of its own stays.
 
+use linenproxy_lab::experiment::Variant;
+use linenproxy_lab::net::Clock;
+use linenproxy_lab::record::Record;
+use linenproxy_lab::supervisor::{Bringing, Supervised, Told};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -8,6 +12,8 @@
 /// Looks for something so often at most, this far apart: a bound in count for what a slow machine may take.
 const LOOKS: usize = 600;
 const APART: Duration = Duration::from_millis(50);
+/// Lives of one sidecar: a single process might have ended by chance.
+const LIVES: usize = 20;
 
 const EXPERIMENT: &str = "name = \"left\"\n[topology]\nsidecars = 3\nservers = 3\n[load]\nrate = 5.0\nlasts = \"60s\"\n\
     [[variant]]\nname = \"today\"\n";
@@ -80,7 +86,7 @@
     for signal in ["-INT", "-TERM"] {
         let (folder, status) = ended_by(signal);
         assert_eq!(status.code(), Some(1), "{signal}");
-        assert_eq!(started(folder.path()), [], "{signal}");
+        assert_eq!(started(folder.path()), [] as [u32; 0], "{signal}");
         assert_eq!(folders(folder.path()), [] as [PathBuf; 0], "{signal}");
     }
 }
@@ -99,7 +105,34 @@
         let folder = tempfile::tempdir().expect("a folder");
         let lab = lab(folder.path(), &["--program", program, "--ready-within", patience]);
         assert_eq!(ended(lab).code(), Some(69), "{program}");
-        assert_eq!(started(folder.path()), [], "{program}");
+        assert_eq!(started(folder.path()), [] as [u32; 0], "{program}");
         assert_eq!(folders(folder.path()), [] as [PathBuf; 0], "{program}");
     }
 }
+
+/// A sidecar's process that runs for good.
+fn running(folder: &Path) -> Supervised {
+    let nowhere = "127.0.0.1:9".parse().expect("an address");
+    let told = Told::new((0, 1), 0, nowhere, nowhere, serde_json::Value::Null);
+    let bringing = Bringing::plain(PathBuf::from("/usr/bin/yes"));
+    let beside = (Clock::default(), Record::default());
+    let supervised = Supervised::new(told, bringing, &Variant::default(), folder, 1, beside);
+    let mut supervised = supervised.expect("its files can be written");
+    supervised.start().expect("it starts");
+    supervised
+}
+
+// On this thread nothing else runs in between, so nobody else can have waited for the process.
+#[tokio::test]
+async fn a_sidecar_that_is_let_go_of_has_ended() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let goes_on = |_: &usize| {
+        let supervised = running(folder.path());
+        let process = PathBuf::from(format!("/proc/{}", supervised.id().expect("it runs")));
+        assert!(process.exists());
+        drop(supervised);
+        process.exists()
+    };
+    let left = (0..LIVES).filter(goes_on).count();
+    assert_eq!(left, 0, "of {LIVES} processes");
+}
