Keep the lab's addresses for its processes while nobody listens there

Cause (crates/lab/src/play/build.rs, free(); stewards.rs, fronts.rs, door.rs): ports were noted and let go of before the process that was meant for them had started, and between its lives. A process that another thread is just starting still holds the socket, and while a sidecar or a server was down any other process could be given its port: a door says that its port stays its own, but closed its listener. Hosts by process id make that rare within one lab, not between two whose ids agree modulo 250. Change: reserved.rs, an address whose port the system gives to nobody else while it is held: bound, not listened on, open to reuse. Plays hold one for each sidecar, page, steward and door, and for each member's datagrams on a host of their own (one more socket for each).

--- a/crates/lab/src/door.rs
+++ b/crates/lab/src/door.rs
@@ -1,6 +1,7 @@
 //! Listeners that stand before a process: up, down or unreachable as it is. Changes with how a door is held shut.
 
 use crate::relay::Link;
+use crate::reserved::Reserved;
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
@@ -35,10 +36,11 @@
 }
 
 /// A listener that behaves as the process behind it and the way to it: refused while the process is down; never up
-/// while the way is cut. Bound from the beginning, so that its port stays its own.
+/// while the way is cut.
 pub struct Door {
     listener: Option<TcpListener>,
-    address: SocketAddr,
+    /// Its port stays its own while nobody listens there.
+    reserved: Reserved,
     life: watch::Receiver<Life>,
     link: Link,
 }
@@ -46,14 +48,14 @@
 impl Door {
     /// Binds a port of the system's choice on that host.
     pub fn bind(host: std::net::IpAddr, life: watch::Receiver<Life>, link: Link) -> io::Result<Self> {
-        let listener = listen(SocketAddr::new(host, 0))?;
-        let address = listener.local_addr()?;
-        Ok(Self { listener: Some(listener), address, life, link })
+        let reserved = Reserved::on(host)?;
+        let listener = listen(reserved.address())?;
+        Ok(Self { listener: Some(listener), reserved, life, link })
     }
 
     /// Where it is.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.reserved.address()
     }
 
     /// Accepts connections for good, and hands each over with the life that it belongs to.
@@ -69,7 +71,7 @@
                 continue;
             }
             let Some(listener) = &self.listener else {
-                match listen(self.address) {
+                match listen(self.address()) {
                     Ok(listener) => self.listener = Some(listener),
                     Err(_) => sleep(PAUSE).await,
                 }
@@ -77,7 +79,7 @@
             };
             changes.borrow_and_update();
             if !self.link.opens() {
-                let fillers = fill(listener, self.address).await;
+                let fillers = fill(listener, self.address()).await;
                 tokio::select! {
                     changed = changes.changed() => if changed.is_err() { return },
                     changed = self.life.changed() => if changed.is_err() { return },
@@ -217,6 +219,9 @@
         life.send_replace(Life { up: false, number: 1 });
         assert!(timeout(LONG, stream.read(&mut [0; 1])).await.expect("an end").is_err(), "no reset");
         while TcpStream::connect(address).await.is_ok() {}
+        // Nobody else gets its port meanwhile: the system picks a free one as who does not allow reuse asks for it.
+        let other = TcpSocket::new_v4().expect("a socket");
+        assert_eq!(other.bind(address).expect_err("it is kept").kind(), io::ErrorKind::AddrInUse);
         life.send_replace(Life { up: true, number: 2 });
         let mut back = loop {
             match TcpStream::connect(address).await {
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -4,6 +4,7 @@
 use crate::datagrams::{Datagrams, datagram};
 use crate::net::Net;
 use crate::relay::Link;
+use crate::reserved::Reserved;
 use linenproxy_fleet::section::FleetSection;
 use std::collections::HashMap;
 use std::io;
@@ -37,12 +38,14 @@
 pub struct Fronts {
     /// Each member's.
     pub addresses: Vec<Address>,
+    /// Where the members listen themselves.
+    _reserved: Vec<Reserved>,
     bytes: Arc<AtomicU64>,
 }
 
 impl Fronts {
-    /// Opens one for each of these zones' members, on hosts of the loopback range. They pass datagrams on until the
-    /// tasks are ended.
+    /// Opens one for each of these zones' members, on hosts of the loopback range: for the member itself, where nothing
+    /// but members listens, and for its front. They pass datagrams on until the tasks are ended.
     ///
     /// # Errors
     /// A socket cannot be had.
@@ -52,13 +55,13 @@
         net: &Net,
         faults: &watch::Receiver<Datagrams>,
     ) -> io::Result<(Self, Vec<AbortHandle>)> {
-        let (mut sockets, mut addresses) = (Vec::new(), Vec::new());
+        let (mut sockets, mut addresses, mut reserved) = (Vec::new(), Vec::new(), Vec::new());
         for member in 0..zones.len() {
             let (own, front) = host(member);
             let socket = UdpSocket::bind((front, 0)).await?;
-            // A port that is free now, on a host of its own, is nobody else's a moment later.
-            let own = UdpSocket::bind((own, 0)).await?.local_addr()?;
-            addresses.push(Address { own, front: socket.local_addr()? });
+            let own = Reserved::on(own)?;
+            addresses.push(Address { own: own.address(), front: socket.local_addr()? });
+            reserved.push(own);
             sockets.push(socket);
         }
         let sockets = Arc::new(sockets);
@@ -97,7 +100,7 @@
             });
             tasks.push(task.abort_handle());
         }
-        Ok((Self { addresses, bytes: sent }, tasks))
+        Ok((Self { addresses, _reserved: reserved, bytes: sent }, tasks))
     }
 
     /// Bytes of the datagrams that members have sent.
@@ -143,7 +146,7 @@
     async fn members_know_each_other_by_their_fronts_and_a_cut_parts_zones() {
         let net = Net::new(&Network::default());
         let (_faults, told) = watch::channel(Datagrams::default());
-        let host = |_| (IpAddr::V4(Ipv4Addr::LOCALHOST), IpAddr::V4(Ipv4Addr::LOCALHOST));
+        let host = |_| (IpAddr::V4(Ipv4Addr::new(127, 0, 0, 3)), IpAddr::V4(Ipv4Addr::LOCALHOST));
         let (fronts, _tasks) = Fronts::open(&[0, 1], host, &net, &told).await.expect("free ports");
         let [a, b] = [fronts.addresses[0], fronts.addresses[1]];
         let (one, two) =
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod record;
 pub mod relay;
 pub mod report;
+pub mod reserved;
 pub mod servers;
 pub mod sim;
 pub mod site;
--- a/crates/lab/src/play/build.rs
+++ b/crates/lab/src/play/build.rs
@@ -16,29 +16,24 @@
 use crate::plan::{Mood, Plan};
 use crate::platform::Platform;
 use crate::record::Record;
+use crate::reserved::Reserved;
 use crate::servers::Servers;
 use crate::site;
 use crate::stewards::{Around, Stewards};
 use crate::supervisor::{Supervised, Told};
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr};
 use std::path::Path;
 use std::sync::Arc;
 use tokio::sync::{Mutex, watch};
 
-/// Hosts of the loopback range that one play uses, by purpose: a port that the system picks there is met by nobody
-/// else's.
+/// Hosts of the loopback range that one play uses, by purpose.
 fn host(purpose: u8, number: usize) -> IpAddr {
     let process = std::process::id();
     let low = (number % 250 + 1) as u8;
     IpAddr::V4(Ipv4Addr::new(127, 16 + purpose, (process % 250) as u8 + (number / 250) as u8 % 5, low))
 }
 
-/// A free address on a host of its own.
-fn free(host: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind((host, 0))?.local_addr()
-}
-
 /// Builds the stage; what runs on it ends with `tasks`.
 pub(super) async fn build(
     experiment: &Experiment,
@@ -87,7 +82,7 @@
         }
         false => None,
     };
-    let (mut sidecars, mut pages) = (Vec::new(), Vec::new());
+    let (mut sidecars, mut pages, mut reserved) = (Vec::new(), Vec::new(), Vec::new());
     for (sidecar, spec) in plan.sidecars.iter().enumerate() {
         let mut addresses = Vec::new();
         for server in 0..plan.servers.len() {
@@ -106,7 +101,9 @@
         );
         let (discovery, task) = agent.listen(host(1, sidecar)).map_err(io("no socket for an agent"))?;
         tasks.0.push(task);
-        let listen = free(host(2, sidecar)).map_err(io("no address for a sidecar"))?;
+        let kept = Reserved::on(host(2, sidecar)).map_err(io("no address for a sidecar"))?;
+        let listen = kept.address();
+        reserved.push(kept);
         let told = Told::new((sidecar, plan.sidecars.len()), spec.zone, listen, discovery, agent.known());
         sidecars.push(match launch {
             Launch::Program(bringing) => {
@@ -114,7 +111,9 @@
                 bringing.program = variant.program.clone().unwrap_or(bringing.program);
                 let program = bringing.program.clone();
                 let mut variant = variant.clone();
-                let metrics = free(host(5, sidecar)).map_err(io("no address for a sidecar's pages"))?;
+                let kept = Reserved::on(host(5, sidecar)).map_err(io("no address for a sidecar's pages"))?;
+                let metrics = kept.address();
+                reserved.push(kept);
                 pages.push(metrics);
                 let section = fronts.as_ref().map(|f| f.section(sidecar, spec.clock_offset_ms));
                 // Nothing of an earlier play, but all of earlier lives in this one.
@@ -206,6 +205,7 @@
         lies,
         fronts,
         sidecars,
+        _reserved: reserved,
         under_way: Mutex::default(),
     })
 }
--- a/crates/lab/src/play/stage.rs
+++ b/crates/lab/src/play/stage.rs
@@ -8,6 +8,7 @@
 use crate::plan::{Mood, Plan, Step};
 use crate::platform::Platform;
 use crate::record::{Record, Seen};
+use crate::reserved::Reserved;
 use crate::servers::Servers;
 use crate::stewards::Stewards;
 use crate::supervisor::Supervised;
@@ -38,6 +39,8 @@
     pub(super) fronts: Option<Fronts>,
     pub(super) stewards: Option<Arc<Stewards>>,
     pub(super) sidecars: Vec<Sidecar>,
+    /// Their addresses, which stay their own while they are down.
+    pub(super) _reserved: Vec<Reserved>,
     pub(super) plan: Arc<Plan>,
     /// Where sidecars' pages are, where they bind keys.
     pub(super) binds: Option<Vec<SocketAddr>>,
--- a/crates/lab/src/stewards.rs
+++ b/crates/lab/src/stewards.rs
@@ -14,6 +14,7 @@
 use crate::plan::{Kept, Plan};
 use crate::platform::Platform;
 use crate::record::Record;
+use crate::reserved::Reserved;
 use crate::site::ZONES;
 use crate::supervisor::Bringing;
 use crate::ways;
@@ -51,6 +52,8 @@
 pub struct Stewards {
     all: Vec<Mutex<Steward>>,
     pages: Vec<SocketAddr>,
+    /// These addresses stay the stewards' own while they are down.
+    _reserved: Vec<Reserved>,
     plan: Arc<Plan>,
     platform: Arc<Platform>,
     clock: Clock,
@@ -87,10 +90,9 @@
     ) -> io::Result<(Arc<Self>, Vec<AbortHandle>)> {
         let zone =
             |steward: usize| steward % plan.kept.as_ref().map_or(1, |kept| kept.keep_zone.len()).max(1);
-        let mut pages = Vec::new();
-        for steward in 0..asked.count {
-            pages.push(std::net::TcpListener::bind(((around.host)(6, steward), 0))?.local_addr()?);
-        }
+        let reserved = (0..asked.count).map(|steward| Reserved::on((around.host)(6, steward)));
+        let reserved: Vec<Reserved> = reserved.collect::<io::Result<_>>()?;
+        let pages: Vec<SocketAddr> = reserved.iter().map(Reserved::address).collect();
         let blacked_out = plan.kept.as_ref().is_some_and(|kept| !kept.blackouts.is_empty());
         let begins = blacked_out.then(|| Instant::now() + BEGINS_AFTER);
         let agreed = match &plan.kept {
@@ -134,7 +136,8 @@
         }
         let (plan, clock, record) = (Arc::clone(plan), clock.clone(), record.clone());
         let platform = around.platform.0;
-        Ok((Arc::new(Self { all, pages, plan, platform, clock, record, begins }), handles))
+        let _reserved = reserved;
+        Ok((Arc::new(Self { all, pages, _reserved, plan, platform, clock, record, begins }), handles))
     }
 
     /// Waits until one leads.
