Let the tests of cut datagrams wait until these were read, not for 20 ms

Cause (crates/lab/src/datagrams.rs, fronts.rs): a test sent a datagram into a cut, slept for 20 ms and healed the cut, which holds only where the relay has read the datagram by then. Found by reading. Change: the wait ends when the system's table says that the socket's queue is read up. The tests of datagrams.rs move to a file.

--- a/crates/lab/src/datagrams.rs
+++ b/crates/lab/src/datagrams.rs
@@ -85,38 +85,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::experiment::{Network, Way};
-    use crate::net::Net;
-    use tokio::time::timeout;
-
-    const LONG: Duration = Duration::from_secs(20);
-
-    #[tokio::test]
-    async fn datagrams_are_lost_repeated_and_cut() {
-        let net = Net::new(&Network::default());
-        let bind = || async { UdpSocket::bind("127.0.0.1:0").await.expect("a free port") };
-        let (at, out, receiver, sender) = (bind().await, Arc::new(bind().await), bind().await, bind().await);
-        let (into, to) = (at.local_addr().expect("an address"), receiver.local_addr().expect("an address"));
-        let (faults, told) = watch::channel(Datagrams { repeated: 1.0, ..Datagrams::default() });
-        let link = Link { net: net.clone(), from: 0, to: 1 };
-        tokio::spawn(datagrams(at, out, to, link, told));
-        let mut bytes = [0; 8];
-        let mut heard =
-            async || timeout(LONG, receiver.recv(&mut bytes)).await.expect("in time").map(|_| bytes[0]);
-        sender.send_to(&[1], into).await.expect("it goes out");
-        assert_eq!([heard().await.expect("one"), heard().await.expect("its copy")], [1, 1]);
-        // What is lost or cut never comes: the next to come is the one after.
-        faults.send_replace(Datagrams { lost: 1.0, ..Datagrams::default() });
-        sender.send_to(&[2], into).await.expect("it goes out");
-        sleep(PAUSE).await;
-        faults.send_replace(Datagrams::default());
-        net.cut(0, Way::Out, true);
-        sender.send_to(&[3], into).await.expect("it goes out");
-        sleep(PAUSE).await;
-        net.cut(0, Way::Out, false);
-        sender.send_to(&[4], into).await.expect("it goes out");
-        assert_eq!(heard().await.expect("one"), 4);
-    }
-}
+pub(crate) mod tests;
--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -136,6 +136,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::datagrams::tests::read_up;
     use crate::experiment::{Network, Way};
     use std::net::Ipv4Addr;
     use tokio::time::timeout;
@@ -159,11 +160,11 @@
         // What is sent into a cut, or by a stranger, never comes: the next to come is the one after.
         net.cut(0, Way::Out, true);
         one.send_to(&[2], b.front).await.expect("it goes out");
-        sleep(Duration::from_millis(20)).await;
+        read_up(b.front).await;
         net.cut(0, Way::Out, false);
         let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
         stranger.send_to(&[3], b.front).await.expect("it goes out");
-        sleep(Duration::from_millis(20)).await;
+        read_up(b.front).await;
         one.send_to(&[4], b.front).await.expect("it goes out");
         timeout(LONG, two.recv_from(&mut bytes)).await.expect("in time").expect("it comes");
         assert_eq!(bytes[0], 4);
