Wait for a closed connection to be counted before it is asked for

Cause (tests/sidecar/lists.rs): the stub endpoint counts a connection as closed on a thread of its own, some time after the sidecar closed it; the test compared the count at once. Change: it waits for the count, which is as strict: one request, one close.

--- a/tests/sidecar/lists.rs
+++ b/tests/sidecar/lists.rs
@@ -21,7 +21,8 @@
         for _ in 0..5 {
             assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").body, b"new");
         }
-        assert_eq!((old.requests(), old.closed()), (1, 1));
+        await_that("its connection is closed", || old.closed() == 1);
+        assert_eq!(old.requests(), 1);
     }
 }
 
