Wait until an endpoint's close has come in, not for 100 ms

Cause (tests/sidecar/connections.rs): the endpoint answers and closes; the test slept for 100 ms and asked again, hoping that the close had come in. Where the endpoint's thread is late, an unsafe request goes out on a connection that is closed under it, and fails rightly. Change: the test waits until the system's table has no open connection of the endpoint's.

--- a/tests/sidecar/connections.rs
+++ b/tests/sidecar/connections.rs
@@ -23,7 +23,7 @@
         assert_eq!(sidecar.ask(&request("book", headers, "")).expect("an answer").status(), 200);
         assert_eq!(made(), 1);
     }
-    thread::sleep(Duration::from_millis(100));
+    await_that("the close has come in", || !holds_open(endpoint.address));
     assert_eq!(sidecar.ask(&request("book", "", "")).expect("an answer").status(), 200);
     assert_eq!((made(), endpoint.closed()), (2, 0));
     // The sidecar closes it by itself before the endpoint's idle time is over, which is never here.
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -91,3 +91,15 @@
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
     table.lines().any(|l| l.contains(&format!(":{:04X} 02 ", address.port())))
 }
+
+/// Whether whoever listens there has a connection that is up (state 1), or a close of its own on the way (state 4: the
+/// other side's system has not confirmed it).
+pub fn holds_open(address: SocketAddr) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
+    let SocketAddr::V4(at) = address else { panic!("{address} is not an address of IPv4") };
+    let own = format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port());
+    table.lines().any(|line| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        fields.len() > 3 && fields[1] == own && ["01", "04"].contains(&fields[3])
+    })
+}
