--- /dev/null
+++ b/tests/gossip/health_reports.rs
@@ -0,0 +1,49 @@
+//! What is told to others of how attempts end.
+
+use crate::common::*;
+use crate::{end_at, sharing};
+use linenproxy::*;
+
+#[test]
+fn how_attempts_end_is_told_only_where_that_is_wanted_and_a_full_endpoint_is_not_sick() {
+    let told = |words: bool, outcome: Outcome| {
+        let mut rig = Rig::new(settings(), 1, 1);
+        rig.balancer.share(sharing(words, 0.0));
+        rig.request(SAFE);
+        let actions = end_at(&mut rig, 0, outcome);
+        actions.iter().find_map(|a| match a {
+            Action::Witness { served, .. } => Some(*served),
+            _ => None,
+        })
+    };
+    assert_eq!(told(true, Outcome::Ok), Some(true));
+    assert_eq!(told(true, Outcome::ConnectFailed), Some(false));
+    assert_eq!(told(true, Outcome::Rejected), None);
+    assert_eq!(told(false, Outcome::Ok), None);
+}
+
+#[test]
+fn an_attempt_far_later_than_usual_is_told_of_once_and_not_where_something_was_answered_since() {
+    let told = |actions: &[Action]| {
+        let of = |a: &&Action| matches!(a, Action::Witness { served: false, .. });
+        actions.iter().filter(of).count()
+    };
+    let mut rig = Rig::new(settings(), 1, 1);
+    rig.balancer.share(sharing(true, 0.0));
+    used(&mut rig, 20);
+    let (first, _) = rig.request(SAFE);
+    assert_eq!(told(&rig.wait(300 * MS)), 0);
+    rig.now += 500 * MS;
+    let looks: usize = (0..3).map(|_| told(&rig.event(Event::Words(Vec::new())))).sum();
+    assert_eq!(looks, 1);
+    rig.end(first, 0, Outcome::Ok);
+    // Another that was sent after it is answered first: it is slow, not silent.
+    let (slow, _) = rig.request(SAFE);
+    rig.now += 10 * MS;
+    let (quick, _) = rig.request(SAFE);
+    rig.now += 20 * MS;
+    rig.end(quick, 0, Outcome::Ok);
+    rig.now += 800 * MS;
+    assert_eq!(told(&rig.event(Event::Words(Vec::new()))), 0);
+    rig.end(slow, 0, Outcome::Ok);
+}
--- /dev/null
+++ b/tests/gossip/main.rs
@@ -0,0 +1,28 @@
+//! What gossip from other members does to decisions, what it must not do, and how keys find their endpoints.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod affinity;
+mod ejection;
+mod health_reports;
+mod staleness;
+
+use common::*;
+use linenproxy::*;
+
+const SECOND: Micros = 1000 * MS;
+
+/// Ends whatever is out at an endpoint.
+fn end_at(rig: &mut Rig, endpoint: EndpointId, outcome: Outcome) -> Vec<Action> {
+    let there: Vec<_> = rig.out.iter().filter(|(_, o)| o.endpoint == endpoint).map(|(key, _)| *key).collect();
+    there.into_iter().flat_map(|(id, attempt)| rig.end(id, attempt, outcome)).collect()
+}
+
+fn word(endpoint: EndpointId, rest: Rest, until: Micros) -> Event {
+    Event::Words(vec![Word { endpoint, rest, until }])
+}
+
+fn sharing(words: bool, ahead: f64) -> Sharing {
+    Sharing { words, ahead }
+}
--- /dev/null
+++ b/tests/gossip/staleness.rs
@@ -0,0 +1,61 @@
+//! Words past their bound.
+
+use crate::common::*;
+use crate::{SECOND, sharing};
+use linenproxy::*;
+
+/// A history drawn from a seed; `more` may say things in between. Gives all that was asked for.
+fn history(seed: u64, share: Sharing, more: impl Fn(&mut Rig, &mut fastrand::Rng)) -> Vec<Action> {
+    let (mut rig, mut rng) = (Rig::new(settings(), 12, seed), fastrand::Rng::with_seed(seed));
+    // What is drawn for words must not move what is drawn for the history.
+    let mut others = fastrand::Rng::with_seed(!seed);
+    rig.balancer.share(share);
+    let mut all = Vec::new();
+    for _ in 0..200 {
+        more(&mut rig, &mut others);
+        let (class, pause) = (rng.usize(0..3), rng.i64(1..200) * MS);
+        all.extend(rig.request(class).1);
+        all.extend(rig.wait(pause));
+        let open: Vec<_> = rig.out.keys().copied().collect();
+        for (id, attempt) in open {
+            let outcome = match rng.u8(0..10) {
+                0 => Outcome::Error,
+                1 => Outcome::ConnectFailed,
+                2 => Outcome::Reset,
+                3 | 4 => continue,
+                _ => Outcome::Ok,
+            };
+            all.extend(rig.end(id, attempt, outcome));
+        }
+    }
+    all.retain(|a| !matches!(a, Action::Witness { .. }));
+    all
+}
+
+/// Past its bound a word counts as never said: decisions equal a lone instance's over random histories.
+#[test]
+fn words_past_their_bound_change_no_decision_at_all() {
+    for seed in 0..60 {
+        let lone = history(seed, Sharing::default(), |rig, _| drop(rig.event(Event::Words(Vec::new()))));
+        let same = |one: &[Action], other: &[Action], what: &str| {
+            let differs = one.iter().zip(other).position(|(a, b)| a != b);
+            assert_eq!((differs, one.len()), (None, other.len()), "{what}, seed {seed}");
+        };
+        let late = history(seed, sharing(true, 0.0), |rig, rng| {
+            let rests = [Rest::Yes, Rest::Trial, Rest::Over];
+            let mut words = Vec::new();
+            for _ in 0..rng.usize(0..4) {
+                let (endpoint, until) = (rng.usize(0..12), rig.now - rng.i64(0..5 * SECOND));
+                words.push(Word { endpoint, rest: rests[rng.usize(0..3)], until });
+            }
+            rig.event(Event::Words(words));
+        });
+        same(&late, &lone, "past the bound");
+        let taken_back = history(seed, sharing(true, 0.0), |rig, rng| {
+            let (endpoint, until) = (rng.usize(0..12), rig.now + SECOND);
+            let both = [Rest::Yes, Rest::No].map(|rest| Word { endpoint, rest, until });
+            rig.event(Event::Words(both.to_vec()));
+        });
+        same(&taken_back, &lone, "taken back");
+    }
+}
