--- /dev/null
+++ b/crates/fleet/src/udp/calls.rs
@@ -0,0 +1,80 @@
+//! What other tasks of the thread tell a member and ask of it. Changes with what its host knows and wants to know.
+
+use super::{Carries, Fleet, Notes};
+use crate::carrier::NotCarried;
+use crate::census::Servers;
+use crate::core::{Census, Core, Listed};
+use crate::evidence::Sign;
+
+impl Fleet {
+    /// From now on that one is told of what is carried here; until then it is dropped.
+    pub fn on_carried(&self, carries: Carries) {
+        *self.carries.borrow_mut() = Some(carries);
+    }
+
+    /// From now on that one is told of what people should know.
+    pub fn on_notes(&self, notes: Notes) {
+        *self.notes.borrow_mut() = Some(notes);
+    }
+
+    /// The version of the program, as others' rosters show it.
+    pub fn set_version(&self, version: &str) {
+        self.core.borrow_mut().set_version(version);
+    }
+
+    /// Spreads a piece to all members; see [`Core::carry`].
+    ///
+    /// # Errors
+    /// Why it is not.
+    pub fn carry(&self, kind: u8, bytes: &[u8]) -> Result<(), NotCarried> {
+        self.with(|core, now| core.carry(now, kind, bytes))
+    }
+
+    /// Sends a piece to one member; see [`Core::carry_to`].
+    ///
+    /// # Errors
+    /// Why it is not.
+    pub fn carry_to(&self, to: u64, kind: u8, bytes: &[u8]) -> Result<(), NotCarried> {
+        self.with(|core, now| core.carry_to(now, to, kind, bytes))
+    }
+
+    /// Members drawn at random; see [`Core::neighbours`].
+    pub fn neighbours(&self, most: usize) -> Vec<u64> {
+        self.with(|core, _| core.neighbours(most))
+    }
+
+    /// The list has changed.
+    pub fn listed(&self, list: Vec<Listed>) {
+        self.with(|core, now| core.listed(now, list));
+    }
+
+    /// Discovery has answered: the list is as new as this.
+    pub fn list_seen(&self) {
+        self.with(Core::list_seen);
+    }
+
+    /// Where the endpoints of the list stand, by their numbers.
+    pub fn placed<'a>(&self, zones: impl Iterator<Item = (usize, &'a str)>) {
+        self.core.borrow_mut().placed(zones);
+    }
+
+    /// An endpoint has served this member, or has not.
+    pub fn witness(&self, endpoint: usize, sign: Sign) {
+        self.with(|core, now| core.witness(now, endpoint, sign));
+    }
+
+    /// Tells the others that it leaves.
+    pub fn leave(&self) {
+        self.with(Core::leave);
+    }
+
+    /// What it may tell the steward.
+    pub fn servers(&self) -> Servers {
+        self.with(|core, now| core.servers(now))
+    }
+
+    /// What people want to see.
+    pub fn census(&self) -> Census {
+        self.with(|core, now| core.census(now))
+    }
+}
