--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -109,7 +109,7 @@
     /// Waits until it says that it is ready, which one that has ended never does.
     fn await_up(&mut self) {
         let until = Instant::now() + LONG;
-        while !self.up().is_some_and(|answer| answer.status() == 200) {
+        while self.up().is_none_or(|answer| answer.status() != 200) {
             let ended = self.process.try_wait().expect("its state");
             assert!(ended.is_none(), "the sidecar at {} ended as it started: {ended:?}", self.address);
             assert!(Instant::now() < until, "it never came that the sidecar is up");
