--- a/crates/lab/src/fronts.rs
+++ b/crates/lab/src/fronts.rs
@@ -4,6 +4,7 @@
 use crate::datagrams::{Datagrams, datagram};
 use crate::net::Net;
 use crate::relay::Link;
+use crate::reserved::Reserved;
 use linenproxy_fleet::section::FleetSection;
 use std::collections::HashMap;
 use std::io;
@@ -37,12 +38,14 @@
 pub struct Fronts {
     /// Each member's.
     pub addresses: Vec<Address>,
+    /// Where the members listen themselves.
+    _reserved: Vec<Reserved>,
     bytes: Arc<AtomicU64>,
 }
 
 impl Fronts {
-    /// Opens one for each of these zones' members, on hosts of the loopback range. They pass datagrams on until the
-    /// tasks are ended.
+    /// Opens one for each of these zones' members, on hosts of the loopback range: for the member itself, where nothing
+    /// but members listens, and for its front. They pass datagrams on until the tasks are ended.
     ///
     /// # Errors
     /// A socket cannot be had.
@@ -52,13 +55,13 @@
         net: &Net,
         faults: &watch::Receiver<Datagrams>,
     ) -> io::Result<(Self, Vec<AbortHandle>)> {
-        let (mut sockets, mut addresses) = (Vec::new(), Vec::new());
+        let (mut sockets, mut addresses, mut reserved) = (Vec::new(), Vec::new(), Vec::new());
         for member in 0..zones.len() {
             let (own, front) = host(member);
             let socket = UdpSocket::bind((front, 0)).await?;
-            // A port that is free now, on a host of its own, is nobody else's a moment later.
-            let own = UdpSocket::bind((own, 0)).await?.local_addr()?;
-            addresses.push(Address { own, front: socket.local_addr()? });
+            let own = Reserved::on(own)?;
+            addresses.push(Address { own: own.address(), front: socket.local_addr()? });
+            reserved.push(own);
             sockets.push(socket);
         }
         let sockets = Arc::new(sockets);
@@ -97,7 +100,7 @@
             });
             tasks.push(task.abort_handle());
         }
-        Ok((Self { addresses, bytes: sent }, tasks))
+        Ok((Self { addresses, _reserved: reserved, bytes: sent }, tasks))
     }
 
     /// Bytes of the datagrams that members have sent.
@@ -133,6 +136,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::datagrams::tests::read_up;
     use crate::experiment::{Network, Way};
     use std::net::Ipv4Addr;
     use tokio::time::timeout;
@@ -143,7 +147,7 @@
     async fn members_know_each_other_by_their_fronts_and_a_cut_parts_zones() {
         let net = Net::new(&Network::default());
         let (_faults, told) = watch::channel(Datagrams::default());
-        let host = |_| (IpAddr::V4(Ipv4Addr::LOCALHOST), IpAddr::V4(Ipv4Addr::LOCALHOST));
+        let host = |_| (IpAddr::V4(Ipv4Addr::new(127, 0, 0, 3)), IpAddr::V4(Ipv4Addr::LOCALHOST));
         let (fronts, _tasks) = Fronts::open(&[0, 1], host, &net, &told).await.expect("free ports");
         let [a, b] = [fronts.addresses[0], fronts.addresses[1]];
         let (one, two) =
@@ -156,11 +160,11 @@
         // What is sent into a cut, or by a stranger, never comes: the next to come is the one after.
         net.cut(0, Way::Out, true);
         one.send_to(&[2], b.front).await.expect("it goes out");
-        sleep(Duration::from_millis(20)).await;
+        read_up(b.front).await;
         net.cut(0, Way::Out, false);
         let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
         stranger.send_to(&[3], b.front).await.expect("it goes out");
-        sleep(Duration::from_millis(20)).await;
+        read_up(b.front).await;
         one.send_to(&[4], b.front).await.expect("it goes out");
         timeout(LONG, two.recv_from(&mut bytes)).await.expect("in time").expect("it comes");
         assert_eq!(bytes[0], 4);
--- a/tests/sidecar/bad_settings.rs
+++ b/tests/sidecar/bad_settings.rs
@@ -8,6 +8,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
 use std::time::Instant;
 
 /// Every field that is read, by its place in the file.
@@ -48,11 +49,12 @@
 
 /// A good configuration that names every field.
 fn whole(listen: SocketAddr, discovery: SocketAddr, endpoint: SocketAddr) -> Value {
+    /// Where peers' datagrams would arrive; the same for all, as each address is kept until the tests end.
+    static PEERS: OnceLock<[SocketAddr; 2]> = OnceLock::new();
     let known = list(1, true, &[("s-1", endpoint, "active")]);
     let mut file: Value = serde_json::from_str(&config(listen, discovery, &known)).expect("a good file");
-    let spare = unused_address();
-    (file["peer_listen"], file["peers"], file["peers_all"]) =
-        (json!(unused_address()), json!([spare]), json!(spare));
+    let [own, spare] = PEERS.get_or_init(|| [unused_datagrams(), unused_datagrams()]);
+    (file["peer_listen"], file["peers"], file["peers_all"]) = (json!(own), json!([spare]), json!(spare));
     let settings = &mut file["settings"];
     for (field, value) in [
         ("Clients", json!({"MarksRetry": true})),
@@ -151,11 +153,10 @@
 fn each_damage_ends_the_start_with_one_plain_line_or_is_listed_as_taken() {
     let discovery = Discovery::start();
     let endpoint = Endpoint::start(|_| ok("served"));
-    let mut wrong = Vec::new();
+    let (mut wrong, listen) = (Vec::new(), unused_address());
     for field in FIELDS.split_whitespace() {
         let mut line = Vec::new();
         for damage in DAMAGES {
-            let listen = unused_address();
             let text = damaged(&whole(listen, discovery.address, endpoint.address), field, damage);
             let serving = start(&text, listen) == Start::Serving;
             if serving {
@@ -170,7 +171,7 @@
         }
     }
     for text in WHOLE {
-        assert_eq!(start(text, unused_address()), Start::Refused, "{text}");
+        assert_eq!(start(text, listen), Start::Refused, "{text}");
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
