--- a/src/bin/tinflow/config.rs
+++ b/src/bin/tinflow/config.rs
@@ -2,7 +2,6 @@
 //! Changes with the platform's form of them.
 
 use crate::hosts::HostList;
-use crate::report::say;
 use linenproxy::settings::{self, Decoded};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -53,7 +52,7 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
-    known: Option<serde_json::Value>,
+    known: Option<HostList>,
     settings: Box<RawValue>,
 }
 
@@ -125,7 +124,7 @@
             peer_listen: file.peer_listen,
             peers: file.peers,
             peers_all: file.peers_all,
-            known: file.known.and_then(known),
+            known: file.known,
             decoded,
             fixed,
         })
@@ -138,13 +137,6 @@
     }
 }
 
-/// The list as last known; discovery is asked for the whole one where it cannot be read.
-fn known(list: serde_json::Value) -> Option<HostList> {
-    serde_json::from_value(list)
-        .inspect_err(|e| say!(warn, "tinflow", "LB_CONFIG: the known list cannot be read: {e}"))
-        .ok()
-}
-
 /// The seed is 16 hexadecimal digits; any other text is a seed as well.
 fn seed(text: &str) -> u64 {
     u64::from_str_radix(text, 16)
