Test that discovery is called again though idle clients fill the descriptors

Need: a watch that is reset needs a descriptor for its next call, which idle clients may have taken. Two cases: clients hold their whole part of the descriptors that the program is told of; the system grants fewer than it tells, and none is left.

--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -161,3 +161,36 @@
     let _watch = tell(&agent, 3, |call| call.answer(&replaced(3, true, &old, &new)));
     assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0));
 }
+
+// Clients may take no descriptor that discovery needs; where the system grants fewer than it says, discovery is called
+// again once there are some.
+#[test]
+fn discovery_is_called_again_though_idle_clients_fill_the_descriptors() {
+    for granted in [64, 24] {
+        let agent = Agent::start();
+        let (old, new) = old_and_new();
+        let sidecar = agent.sidecar_granted(&[("s-old", &old)], granted, 64);
+        let watch = agent.call();
+        let held =
+            || std::fs::read_dir(format!("/proc/{}/fd", sidecar.process.id())).map_or(0, Iterator::count);
+        let before = held();
+        // Of 64 they may hold 20; from there on idle ones would make way for each other.
+        let clients: Vec<_> = (0..19).map(|_| sidecar.connect()).collect();
+        if granted == 64 {
+            await_that("clients hold their part", || held() >= before + 15);
+            watch.reset();
+            let second = agent.call();
+            assert_eq!(second.after(), Some(1));
+            second.answer(&replaced(2, false, &old, &new));
+            drop(clients);
+        } else {
+            await_that("no descriptor is left", || held() >= granted as usize);
+            watch.reset();
+            // Whoever gets it, a client or discovery, the other waits.
+            await_that("it is taken again", || held() >= granted as usize);
+            drop(clients);
+        }
+        let _watch = tell(&agent, 2, |call| call.answer(&replaced(2, false, &old, &new)));
+        assert_eq!((body(&sidecar), old.requests()), (b"new".to_vec(), 0));
+    }
+}
--- a/tests/stubs/agent.rs
+++ b/tests/stubs/agent.rs
@@ -71,10 +71,26 @@
         endpoints: &[(&str, &Endpoint)],
         alter: impl Fn(String) -> String,
         adapt: impl FnOnce(&mut Command),
+    ) -> Sidecar {
+        self.start_sidecar(endpoints, 1024, alter, adapt)
+    }
+
+    /// One that the system grants so many file descriptors, and that is told of another number.
+    pub fn sidecar_granted(&self, endpoints: &[(&str, &Endpoint)], granted: u32, told: u32) -> Sidecar {
+        let told = format!("\"sockets\":{told}");
+        self.start_sidecar(endpoints, granted, |config| config.replace("\"sockets\":1024", &told), |_| {})
+    }
+
+    fn start_sidecar(
+        &self,
+        endpoints: &[(&str, &Endpoint)],
+        granted: u32,
+        alter: impl Fn(String) -> String,
+        adapt: impl FnOnce(&mut Command),
     ) -> Sidecar {
         let (nobody, at) = (Discovery::start(), self.address.to_string());
         let here = |config: String| alter(config.replace(&nobody.address.to_string(), &at));
-        Sidecar::start_adapted(&nobody, endpoints, 1024, here, |command| {
+        Sidecar::start_adapted(&nobody, endpoints, granted, here, |command| {
             adapt(command.env("LB_DISCOVERY", &at));
         })
     }
