Let a request wait for the end of a connection's rest instead of making another

Cause: with a rest of 25 ms after each answer, requests that came meanwhile made connections of their own. Change: a request that finds only resting connections waits for the one whose rest ends first, which takes less time than a handshake and costs its endpoint nothing.

--- a/src/bin/tinflow/pool.rs
+++ b/src/bin/tinflow/pool.rs
@@ -15,10 +15,10 @@
 /// An idle connection is retired this part of its idle time before the endpoint would close it: a request
 /// written later than that would end as a reset.
 const IDLE_MARGIN: u32 = 8;
-/// A connection rests this long after an answer before it is used again. Some endpoints answer a request twice, the
-/// second time some milliseconds later, and nothing tells that answer from one to the next request. What has come by
-/// the end of the rest ends the connection. Requests that come meanwhile go out on other connections, of which a
-/// longer rest would need more (see the test of what a rest costs).
+/// A connection rests this long after an answer before anything is written on it. Some endpoints answer a request
+/// twice, the second time some milliseconds later, and nothing tells that answer from one to the next request. What has
+/// come by the end of the rest ends the connection. A request that finds no other waits for the end of the rest: a
+/// new connection would take longer, and cost its endpoint a handshake.
 const REST: Duration = Duration::from_millis(25);
 
 /// A process and where it is reached: one that is started later at the same address is another.
@@ -142,13 +142,16 @@
         }
     }
 
-    /// The most recently used idle connection that has rested and is still good: the others may then grow old and
-    /// close.
-    pub fn reuse(&self, endpoint: &Endpoint) -> Option<(Connection, OwnedSemaphorePermit)> {
-        let mut idle = endpoint.idle.borrow_mut();
+    /// The most recently used idle connection that has rested and is still good, so that the others may grow old and
+    /// close; where none has, the one that will have first, after the rest of its rest.
+    pub async fn reuse(&self, endpoint: &Endpoint) -> Option<(Connection, OwnedSemaphorePermit)> {
         loop {
-            let rested = last_rested(idle.iter().map(|i| i.since), Instant::now(), REST)?;
-            let taken = idle.remove(rested);
+            let taken = {
+                let mut idle = endpoint.idle.borrow_mut();
+                let next = next_rested(idle.iter().map(|i| i.since), Instant::now(), REST)?;
+                idle.remove(next)
+            };
+            sleep_until(taken.since + REST).await;
             if taken.since.elapsed() < self.idle_time && taken.connection.usable() {
                 return Some((taken.connection, taken.permit));
             }
@@ -225,13 +228,15 @@
     since.map_or(now, |since| since.min(now))
 }
 
-/// Which of these, that were used last at those times, was used last of all that have rested.
-fn last_rested(
-    mut since: impl DoubleEndedIterator<Item = Instant> + ExactSizeIterator,
+/// Which of these, that were used last at those times, was used last of all that have rested, or else rests the
+/// shortest from now on; `None` where there are none.
+fn next_rested(
+    since: impl DoubleEndedIterator<Item = Instant> + ExactSizeIterator + Clone,
     now: Instant,
     rest: Duration,
 ) -> Option<usize> {
-    since.rposition(|since| now.duration_since(since) >= rest)
+    let rested = since.clone().rposition(|since| now.duration_since(since) >= rest);
+    rested.or_else(|| (0..since.len()).zip(since).min_by_key(|(_, since)| *since).map(|(index, _)| index))
 }
 
 #[cfg(test)]
--- a/src/bin/tinflow/pool/tests.rs
+++ b/src/bin/tinflow/pool/tests.rs
@@ -33,7 +33,7 @@
     assert!(pool.dial(address).await.is_ok());
     // Longer than it would have had to rest.
     tokio::time::sleep(2 * REST).await;
-    assert!(pool.reuse(&endpoint).is_none());
+    assert!(pool.reuse(&endpoint).await.is_none());
     listener.set_nonblocking(true).expect("it can");
     assert_eq!((0..3).filter(|_| listener.accept().is_ok()).count(), 2);
 }
@@ -77,7 +77,7 @@
         let (_listener, third) = listen();
         let _held = pool.dial(third).await.expect("room is made");
         tokio::time::sleep(2 * REST).await;
-        assert!(pool.reuse(&pool.endpoint(0)).is_some(), "the good one made way");
+        assert!(pool.reuse(&pool.endpoint(0)).await.is_some(), "the good one made way");
     }
 }
 
@@ -128,17 +128,35 @@
         idle.extend(answers.extract_if(.., |at| *at <= now));
         idle.sort();
         idle.retain(|since| now.duration_since(*since) < idle_time);
-        match last_rested(idle.iter().copied(), now, rest) {
-            Some(rested) => drop(idle.remove(rested)),
-            None => made += 1,
-        }
-        answers.push(now + wait(0.03));
+        let sent = match next_rested(idle.iter().copied(), now, rest) {
+            Some(next) => now.max(idle.remove(next) + rest),
+            None => {
+                made += 1;
+                now
+            }
+        };
+        answers.push(sent + wait(0.03));
     }
     made
 }
 
 const REQUESTS: usize = 20_000;
 
+// What comes during a rest goes on the connection that rests: no other is made for it.
+#[tokio::test]
+async fn a_request_waits_for_the_end_of_a_rest_and_takes_that_connection() {
+    let (listener, address) = listen();
+    let pool = Pool::new(2, 5_000_000, 10_000_000);
+    let (connection, permit) = pool.dial(address).await.expect("there is room");
+    let (endpoint, target) = (pool.endpoint(0), Target { address, since_ms: 0 });
+    endpoint.set(Some(target), true);
+    pool.park(&endpoint, target, connection, permit).await;
+    let parked = endpoint.idle.borrow()[0].since;
+    assert!(pool.reuse(&endpoint).await.is_some());
+    assert!(parked.elapsed() >= REST, "it was handed out before its rest was over");
+    drop(listener);
+}
+
 // 16 requests a second over eight endpoints, and four times as many.
 #[test]
 fn a_rest_costs_few_connections() {
@@ -147,7 +165,7 @@
             let idle = Duration::from_millis(idle_ms);
             let [without, with] = [Duration::ZERO, REST].map(|rest| made(per_second, idle, rest));
             println!("{per_second}/s, idle {idle_ms} ms: {without} of {REQUESTS}, with a rest {with}");
-            assert!(with <= without + REQUESTS / 25, "{per_second}/s, idle {idle_ms} ms: {without}, {with}");
+            assert!(with <= without + REQUESTS / 100, "{per_second}/s, idle {idle_ms} ms: {without}, {with}");
         }
     }
 }
--- a/src/bin/tinflow/upstream.rs
+++ b/src/bin/tinflow/upstream.rs
@@ -91,7 +91,7 @@
             if let Some(outcome) = barred(to, out, times) {
                 return plain(outcome);
             }
-            let (mut connection, permit, reused) = match self.pool.reuse(endpoint) {
+            let (mut connection, permit, reused) = match self.pool.reuse(endpoint).await {
                 Some((connection, permit)) => (connection, permit, true),
                 None => match self.pool.dial(target.address).await {
                     Ok((mut connection, permit)) => {
