Have the module hear of a time-out before the time of its request is over

Cause: since an attempt's end is counted from the decision and an answer that has come is looked at once more, an attempt that has all the time of its request ended after the module's own timer for the request. That called it back, and a call back teaches nothing: the circuits of endpoints that hang stayed closed. Change: attempts are given up 5 ms before their time. The test in tests/sidecar/handovers.rs was not yet run at this commit.

--- a/src/bin/tinflow/engine/actions.rs
+++ b/src/bin/tinflow/engine/actions.rs
@@ -9,13 +9,17 @@
 use std::rc::Rc;
 use tokio::task::spawn_local;
 
+/// An attempt is given up this much before its time. Where the time of its request ends with it, the module hears of
+/// the time-out first: otherwise it would call the attempt back, and never learn that the endpoint hangs.
+const ATTEMPT_FIRST: Micros = 5_000;
+
 impl Engine {
     /// Carries out what the module asked for at `now`.
     pub(super) fn act(&mut self, now: Micros, action: Action) {
         match action {
             Action::Send { request, endpoint, timeout, write_by } => {
-                let [write_by, until] =
-                    [write_by, now.saturating_add(timeout)].map(|t| self.clock.instant(t));
+                let until = now.saturating_add(timeout - ATTEMPT_FIRST.min(timeout / 2));
+                let [write_by, until] = [write_by.min(until), until].map(|t| self.clock.instant(t));
                 self.send(request, endpoint, Times { write_by, until });
             }
             Action::Refuse { request, hold_off } => self.open.answer(request, Answer::Refused(hold_off)),
--- a/tests/sidecar/handovers.rs
+++ b/tests/sidecar/handovers.rs
@@ -157,3 +157,24 @@
     assert_eq!(read_message(&mut client).expect("an answer").status(), 503);
     assert_eq!((first.endpoint.requests(), second.requests()), (1, 0));
 }
+
+// An attempt at a class that may not be repeated has all the time of its request: the two end together. The endpoint's
+// time-out is learnt first, or its circuit would stay closed for as long as it hangs.
+#[test]
+fn an_endpoint_that_hangs_until_its_requests_are_over_has_its_circuit_opened() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| Reply::Silence);
+    let mut sidecar = Sidecar::start_adapted(
+        &discovery,
+        &[("s-1", &endpoint)],
+        1024,
+        |config| config,
+        |command| drop(command.stderr(std::process::Stdio::piped())),
+    );
+    let short = request("book", "", "{}").replace("19000m", "200m");
+    for _ in 0..4 {
+        assert_eq!(sidecar.ask(&short).expect("an answer").status(), 502);
+    }
+    let said = sidecar.stop_and_read_log();
+    assert!(said.contains("circuit of endpoint 0 open"), "{said}");
+}
