--- a/tests/sidecar/handovers.rs
+++ b/tests/sidecar/handovers.rs
@@ -169,7 +169,9 @@
         &[("s-1", &endpoint)],
         1024,
         |config| config,
-        |command| drop(command.stderr(std::process::Stdio::piped())),
+        |command| {
+            command.stderr(std::process::Stdio::piped());
+        },
     );
     let short = request("book", "", "{}").replace("19000m", "200m");
     for _ in 0..4 {
