--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Builds what the cases start beside the programs of the deploy file: the coordinator, and the
+# stand-ins, which use the standard library alone. Everything lands in target/.
+set -eu
+cd "$(dirname "$0")/.."
+cargo build --locked --profile product -p load-balancer-coordinator
+mkdir -p target/review
+for case in improper_requests asked_again; do
+    rustc --edition 2024 -O -o "target/review/$case" "review/standins/$case.rs"
+done
