Review case: peers that stop half way keep clients from being answered

Cause: once all places for clients are taken, sound idle connections are closed at once, but new connections with half a head keep their places for 2.3 s, and accepting waits for them.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")/.."
 cargo build --locked --profile product -p load-balancer-coordinator
 mkdir -p target/review
-for case in improper_requests asked_again; do
+for case in stalled_peers asked_again improper_requests; do
     rustc --edition 2024 -O -o "target/review/$case" "review/standins/$case.rs"
 done
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -314,7 +314,7 @@
 }
 
 impl Sidecar {
-    pub fn start(record: &Record, discovery: SocketAddr, known: &str) -> Self {
+    pub fn start(record: &Record, discovery: SocketAddr, known: &str, sockets: usize) -> Self {
         let deploy = fs::read_to_string("deploy/balancer.toml").unwrap_or_default();
         let run = deploy
             .lines()
@@ -327,7 +327,7 @@
         let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{address}\",\"discovery\":\"{discovery}\",\
-             \"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":512}},\
+             \"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{sockets}}},\
              \"known\":{known},\"settings\":{SETTINGS}}}"
         );
         let file = folder.0.join("config.json");
--- a/review/standins/improper_requests.rs
+++ b/review/standins/improper_requests.rs
@@ -51,7 +51,7 @@
         })
         .collect();
     let (discovery, known) = discovery(&endpoints);
-    let mut sidecar = Sidecar::start(&record, discovery, &known);
+    let mut sidecar = Sidecar::start(&record, discovery, &known, 512);
 
     // Clients of the sidecar, for 6 s; their requests must be served in either run.
     let address = sidecar.address;
