Review cases: remove temporary folders and end processes by the shell's kill

Cause: a case left its temporary folders behind, and needed a kill program beside the shell. Change: the stand-ins remove their folders and use the shell's own kill.

--- a/review/standins/asked_again.rs
+++ b/review/standins/asked_again.rs
@@ -171,9 +171,9 @@
         .map(|_| SocketAddr::from(([127, 0, 0, 1], free_port())))
         .collect();
     let members: Vec<String> = at.iter().enumerate().map(|(n, a)| format!("c{n} = \"{a}\"\n")).collect();
-    let folder = Folder::new();
+    let folder = folder();
     for (own, address) in at.iter().enumerate() {
-        let data = folder.0.join(format!("c{own}.data"));
+        let data = folder.join(format!("c{own}.data"));
         let config = format!(
             "[coordinator]\nname = \"c{own}\"\nlisten = \"{address}\"\ndata = {data:?}\n\n[coordinators]\n{}\n\
              [platform]\naddress = \"{platform}\"\ntimeout = \"300ms\"\n\n\
@@ -183,11 +183,11 @@
             members.concat(),
             pages.join(", ")
         );
-        let file = folder.0.join(format!("c{own}.toml"));
+        let file = folder.join(format!("c{own}.toml"));
         std::fs::write(&file, config).expect("a configuration");
         let mut command = Command::new("target/product/coordinator");
         command.args(["run", "--config"]).arg(&file);
-        start(&mut command, &folder.0.join(format!("c{own}.log")));
+        start(&mut command, &folder.join(format!("c{own}.log")));
     }
 
     // Ready: all have a vote, one leads and has looked.
@@ -275,6 +275,5 @@
         }
     }
     record.say(if broken { "BROKEN" } else { "held" });
-    drop(folder);
     finish(if broken { BROKEN } else { HELD })
 }
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -26,11 +26,13 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
+/// Temporary folders of this test.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
 /// Sends a signal to a process that this test started.
 pub fn signal(name: &str, pid: u32) {
-    let _ = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(pid.to_string())
+    let _ = Command::new("/bin/sh")
+        .args(["-c", &format!("kill -{name} {pid}")])
         .stderr(Stdio::null())
         .status();
 }
@@ -41,9 +43,13 @@
     }
 }
 
-/// Ends the test and all processes that it started.
+/// Ends the test and all processes that it started, and removes its temporary folders.
 pub fn finish(code: i32) -> ! {
     kill_all();
+    thread::sleep(Duration::from_millis(100));
+    for folder in lock(&FOLDERS).drain(..) {
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(code)
 }
 
@@ -266,24 +272,15 @@
 /// The settings of a small deployment: the example of the wire page, for three sidecars.
 pub const SETTINGS: &str = r#"{"Balancers":3,"Clients":{"MarksRetry":true},"CountedBy":"request","Discovery":"pushed","Family":"mesh","FamilyInfo":{"WarmKeys":true},"Goal":{"Whole":0.85,"WorstClass":0.1,"WorstTenant":0.0,"WorstWindow":0.05},"Index":0,"Kinds":["fast","standard","small"],"Lanes":[{"AimUs":1000000,"DeadlineUs":3000000,"DedupScope":"all","Effect":"pure","KeyTtlUs":5000000,"LateShare":0.0,"Name":"statement","Streaming":false,"Worth":5.0},{"AimUs":500000,"DeadlineUs":1500000,"DedupScope":"all","Effect":"pure","KeyTtlUs":5000000,"LateShare":0.0,"Name":"balance","Streaming":false,"Worth":2.0},{"AimUs":500000,"DeadlineUs":2500000,"DedupScope":"all","Effect":"token","KeyTtlUs":5000000,"LateShare":0.0,"Name":"entry","Streaming":false,"Worth":5.0},{"AimUs":800000,"DeadlineUs":4000000,"DedupScope":"all","Effect":"side_effect","KeyTtlUs":5000000,"LateShare":0.0,"Name":"close","Streaming":false,"Worth":5.0}],"Limits":{"CpuUsPerRequest":0.0,"CpuUsPerS":8000,"DialTimeoutUs":120000,"IdleCloseUs":15000000,"MaxAttempts":3,"MaxRetryAfterUs":2000000,"MayCancel":true,"MayDuplicate":true,"MostHeld":20000,"Peers":false,"Probes":true,"RetryAfter":true,"StreamsPerConn":1},"OverShareWorth":0.1,"Prices":{"Connection":0.0,"CrossZone":0.1,"Discovery":0.0,"Handshake":0.0,"LateFail":0.08,"Moves":0.0,"Origin":0.0,"Peer":0.0,"Probe":0.0029,"Waste":0.2},"Report":{"Fields":["err_rps","active"],"Source":"pull"},"Rules":{"AnswerSlackUs":20000,"AskWithinUs":10000000,"ColdShare":0.31,"DrainGraceUs":300000,"OverloadFactor":2.5,"TipAfterUs":1000000,"WarmWithinUs":7400000},"Tenants":[],"TickUs":5000,"Tier":0,"Tiers":["ledger-servers"],"WeightSource":"nominal","Zone":"split","Zones":["zagreb","split","rijeka"]}"#;
 
-/// A temporary folder, removed when it is dropped.
-pub struct Folder(pub PathBuf);
-
-impl Folder {
-    pub fn new() -> Self {
-        let stamp = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |t| t.as_nanos());
-        let path = std::env::temp_dir().join(format!("review-{}-{stamp}", std::process::id()));
-        fs::create_dir_all(&path).expect("a temporary folder");
-        Self(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
-    }
+/// A new temporary folder, removed when the test ends.
+pub fn folder() -> PathBuf {
+    let stamp = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |t| t.as_nanos());
+    let path = std::env::temp_dir().join(format!("review-{}-{stamp}", std::process::id()));
+    fs::create_dir_all(&path).expect("a temporary folder");
+    lock(&FOLDERS).push(path.clone());
+    path
 }
 
 /// Starts a process and remembers it.
@@ -310,7 +307,6 @@
 pub struct Sidecar {
     pub address: SocketAddr,
     pub child: Child,
-    _folder: Folder,
 }
 
 impl Sidecar {
@@ -323,14 +319,14 @@
             record.say("no `run` in deploy/balancer.toml: start this from the project's root");
             finish(COULD_NOT_RUN)
         };
-        let folder = Folder::new();
+        let folder = folder();
         let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{address}\",\"discovery\":\"{discovery}\",\
              \"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{sockets}}},\
              \"known\":{known},\"settings\":{SETTINGS}}}"
         );
-        let file = folder.0.join("config.json");
+        let file = folder.join("config.json");
         fs::write(&file, config).expect("the configuration");
         let mut command = Command::new("/bin/sh");
         command
@@ -339,8 +335,8 @@
             .env("LB_LISTEN", address.to_string())
             .env("LB_DISCOVERY", discovery.to_string())
             .env("LB_CONFIG", &file)
-            .env("TMPDIR", &folder.0);
-        let child = start(&mut command, &folder.0.join("log"));
+            .env("TMPDIR", &folder);
+        let child = start(&mut command, &folder.join("log"));
         let until = Instant::now() + Duration::from_secs(30);
         loop {
             let up = b"GET /up HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n";
@@ -361,7 +357,6 @@
         Self {
             address,
             child,
-            _folder: folder,
         }
     }
 
