--- a/src/bin/sidecar/client.rs
+++ b/src/bin/sidecar/client.rs
@@ -1,5 +1,6 @@
 //! A client connection's state, shared between the task that reads it and others.
 
+use crate::eviction::Occupancy;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::mem::MaybeUninit;
@@ -8,6 +9,8 @@
 use std::task::{Context, Waker};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// A client connection.
 pub struct Client {
@@ -18,19 +21,41 @@
     has_partial_request: Cell<bool>,
     /// A request has begun and is not answered yet.
     is_answering: Cell<bool>,
+    /// The body of the request that has begun is still arriving.
+    is_awaiting_body: Cell<bool>,
+    /// Part of an answer has been handed to the socket, and not all of it was taken.
+    has_unwritten_answer: Cell<bool>,
+    /// No more requests are read.
+    is_closing: Cell<bool>,
+    /// When it was accepted, or the first bytes of the latest request arrived.
+    request_began: Cell<Instant>,
+    /// When it was accepted, or bytes last arrived, or the last answer was given.
+    last_active: Cell<Instant>,
+    /// When the socket last took bytes of an answer.
+    last_write: Cell<Instant>,
+    /// Notified when the connection may have become one that can be closed for another.
+    changed: Rc<Notify>,
 }
 
 /// Marks that a request of the client is being answered, until it is dropped.
 pub struct AnsweringGuard(Rc<Client>);
 
 impl Client {
-    /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Wraps an accepted connection, which notifies `changed` when its occupancy changes.
+    pub fn new(stream: TcpStream, changed: Rc<Notify>) -> Self {
+        let now = Instant::now();
         Self {
             stream,
             received_nothing: Cell::new(true),
             has_partial_request: Cell::default(),
             is_answering: Cell::default(),
+            is_awaiting_body: Cell::default(),
+            has_unwritten_answer: Cell::default(),
+            is_closing: Cell::default(),
+            request_began: Cell::new(now),
+            last_active: Cell::new(now),
+            last_write: Cell::new(now),
+            changed,
         }
     }
 
@@ -39,6 +64,29 @@
         &self.stream
     }
 
+    /// What the connection is occupied with.
+    pub fn occupancy(&self) -> Occupancy {
+        if self.is_closing.get() {
+            Occupancy::Closing
+        } else if self.has_unwritten_answer.get() {
+            let since = self.last_write.get();
+            Occupancy::Unread { since }
+        } else if self.is_answering.get() && !self.is_awaiting_body.get() {
+            Occupancy::Answering
+        } else if self.is_answering.get()
+            || self.has_partial_request.get()
+            || self.received_nothing.get()
+        {
+            Occupancy::Incomplete {
+                began: self.request_began.get(),
+                last_bytes: self.last_active.get(),
+            }
+        } else {
+            let since = self.last_active.get();
+            Occupancy::Idle { since }
+        }
+    }
+
     /// Whether received bytes have not been read yet.
     pub fn has_unread_bytes(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
@@ -75,10 +123,49 @@
 
     /// Records that the HTTP connection has received bytes.
     pub fn note_bytes_read(&self) {
+        let now = Instant::now();
+        if !self.received_nothing.get()
+            && !self.is_answering.get()
+            && !self.has_partial_request.get()
+        {
+            self.request_began.set(now);
+        }
+        self.last_active.set(now);
         self.received_nothing.set(false);
         self.has_partial_request.set(true);
     }
 
+    /// Records that the socket is about to be given bytes of an answer.
+    pub fn note_write_start(&self) {
+        if !self.has_unwritten_answer.replace(true) {
+            self.last_write.set(Instant::now());
+        }
+    }
+
+    /// Records that the socket has taken bytes of an answer.
+    pub fn note_bytes_written(&self) {
+        self.last_write.set(Instant::now());
+    }
+
+    /// Records that the socket has taken all that was to be written.
+    pub fn note_flushed(&self) {
+        if self.has_unwritten_answer.replace(false) {
+            self.last_active.set(Instant::now());
+            self.changed.notify_one();
+        }
+    }
+
+    /// Records whether the body of the request that has begun is still arriving.
+    pub fn set_awaiting_body(&self, is_awaiting: bool) {
+        self.is_awaiting_body.set(is_awaiting);
+    }
+
+    /// Records that no more requests are read.
+    pub fn begin_closing(&self) {
+        self.is_closing.set(true);
+        self.changed.notify_one();
+    }
+
     /// Records that a request has begun.
     pub fn begin_request(self: &Rc<Self>) -> AnsweringGuard {
         self.is_answering.set(true);
@@ -103,6 +190,13 @@
 
 impl Drop for AnsweringGuard {
     fn drop(&mut self) {
-        self.0.is_answering.set(false);
+        let client = &self.0;
+        let now = Instant::now();
+        client.is_answering.set(false);
+        client.is_awaiting_body.set(false);
+        // What has arrived of the next request could not be read before.
+        client.request_began.set(now);
+        client.last_active.set(now);
+        client.changed.notify_one();
     }
 }
--- a/src/bin/sidecar/client_socket.rs
+++ b/src/bin/sidecar/client_socket.rs
@@ -44,6 +44,25 @@
         self.client.stream()
     }
 
+    /// Writes once the socket is writable.
+    fn poll_write_with(
+        &mut self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        self.client.note_write_start();
+        loop {
+            ready!(self.poll_writable(cx))?;
+            match write(self.stream()) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                written => {
+                    self.client.note_bytes_written();
+                    return Poll::Ready(written);
+                }
+            }
+        }
+    }
+
     /// Waits until the socket is writable, up to the time limit.
     fn poll_writable(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if let Poll::Ready(writable) = self.stream().poll_write_ready(cx) {
@@ -108,13 +127,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.poll_writable(cx))?;
-            match self.stream().try_write(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        self.poll_write_with(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -122,13 +135,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.poll_writable(cx))?;
-            match self.stream().try_write_vectored(bufs) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        self.poll_write_with(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -138,6 +145,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Called once a whole answer is written.
         self.stall_timer = None;
+        self.client.note_flushed();
         Poll::Ready(Ok(()))
     }
 
--- /dev/null
+++ b/src/bin/sidecar/eviction.rs
@@ -0,0 +1,136 @@
+//! Chooses the client connection that has to make room for a new one. Pure.
+//!
+//! A connection whose request is being answered is never closed. Of the others, those go first whose
+//! end costs their client least: a closing one, then one whose request has stopped arriving, then an
+//! idle one, and at last one whose client does not read its answer.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A request that is not complete counts as stopped after this long without further bytes. A client
+/// on this machine that has just connected needs less for its first bytes.
+pub const STALL_TIME: Duration = Duration::from_millis(20);
+/// An incomplete request counts as stopped after this long, however regularly bytes arrive.
+pub const MAX_ARRIVAL_TIME: Duration = Duration::from_millis(100);
+/// An answer counts as abandoned after this long in which its client has read nothing.
+pub const UNREAD_TIME: Duration = Duration::from_millis(500);
+
+/// What a client connection is occupied with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Occupancy {
+    /// Its last answer is written, and it is being closed.
+    Closing,
+    /// It is new and nothing has arrived, or part of a request has.
+    Incomplete {
+        /// When the client connected, or sent the first bytes of this request.
+        began: Instant,
+        /// When bytes last arrived.
+        last_bytes: Instant,
+    },
+    /// Every request is answered.
+    Idle {
+        /// Since when.
+        since: Instant,
+    },
+    /// A request is being answered.
+    Answering,
+    /// An answer is partly written, and the socket takes no more.
+    Unread {
+        /// When the socket last took bytes.
+        since: Instant,
+    },
+}
+
+impl Occupancy {
+    /// The names in logs and metrics.
+    pub const LABELS: [&str; 5] = ["closing", "incomplete", "idle", "answering", "unread"];
+
+    /// The index of its name among [`Self::LABELS`].
+    pub fn label_index(self) -> usize {
+        match self {
+            Self::Closing => 0,
+            Self::Incomplete { .. } => 1,
+            Self::Idle { .. } => 2,
+            Self::Answering => 3,
+            Self::Unread { .. } => 4,
+        }
+    }
+
+    /// Whether bytes that arrive now belong to the request that is waited for.
+    pub fn is_reading(self) -> bool {
+        matches!(self, Self::Incomplete { .. } | Self::Idle { .. })
+    }
+
+    /// Its name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        Self::LABELS[self.label_index()]
+    }
+}
+
+/// The reply to the question which connection makes room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice<Id> {
+    /// This one is closed.
+    Evict(Id),
+    /// None may be closed before that time.
+    NotBefore(Instant),
+    /// None may be closed until one of them changes.
+    Nothing,
+}
+
+/// The order in which connections are closed.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    Closing,
+    Stopped,
+    Idle,
+    Unread,
+}
+
+/// Chooses among all connections of a sidecar that has no place for another one.
+///
+/// Idle connections are closed before incomplete ones that may still be arriving if they hold more
+/// than half of the places: otherwise new clients could use only what they leave.
+pub fn choose<Id: Copy + Ord>(
+    connections: impl Iterator<Item = (Id, Occupancy)>,
+    now: Instant,
+) -> Choice<Id> {
+    let mut first: Option<(Rank, Instant, Id)> = None;
+    let mut not_before: Option<Instant> = None;
+    let (mut count, mut idle, mut arriving) = (0_usize, 0_usize, 0_usize);
+    for (id, occupancy) in connections {
+        count += 1;
+        let (rank, since, evictable_at) = match occupancy {
+            Occupancy::Answering => continue,
+            Occupancy::Closing => (Rank::Closing, now, now),
+            Occupancy::Incomplete { began, last_bytes } => {
+                let stopped_at = (last_bytes + STALL_TIME).min(began + MAX_ARRIVAL_TIME);
+                (Rank::Stopped, last_bytes, stopped_at)
+            }
+            Occupancy::Idle { since } => {
+                idle += 1;
+                (Rank::Idle, since, now)
+            }
+            Occupancy::Unread { since } => (Rank::Unread, since, since + UNREAD_TIME),
+        };
+        if evictable_at > now {
+            arriving += usize::from(rank == Rank::Stopped);
+            not_before = Some(not_before.map_or(evictable_at, |earlier| earlier.min(evictable_at)));
+        } else if first.is_none_or(|best| (rank, since, id) < best) {
+            first = Some((rank, since, id));
+        }
+    }
+    match (first, not_before) {
+        (Some((Rank::Idle | Rank::Unread, ..)), Some(time))
+            if arriving > 0 && idle <= count / 2 =>
+        {
+            Choice::NotBefore(time)
+        }
+        (Some((.., id)), _) => Choice::Evict(id),
+        (None, Some(time)) => Choice::NotBefore(time),
+        (None, None) => Choice::Nothing,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/bin/sidecar/eviction/tests.rs
@@ -0,0 +1,150 @@
+//! Tests of `eviction.rs`.
+
+use super::*;
+use std::collections::BTreeMap;
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+fn silent(at: Instant) -> Occupancy {
+    Occupancy::Incomplete {
+        began: at,
+        last_bytes: at,
+    }
+}
+
+fn chosen(connections: &[Occupancy], now: Instant) -> Choice<usize> {
+    choose(connections.iter().copied().enumerate(), now)
+}
+
+// A client that waits for its answer must not lose its connection, whatever others do.
+#[test]
+fn a_connection_whose_request_is_being_answered_is_never_closed() {
+    let now = Instant::now() + Duration::from_secs(60);
+    assert_eq!(chosen(&[Occupancy::Answering; 3], now), Choice::Nothing);
+    assert_eq!(
+        chosen(&[Occupancy::Answering, silent(now - STALL_TIME)], now),
+        Choice::Evict(1)
+    );
+}
+
+#[test]
+fn those_that_lose_least_are_closed_first() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(60);
+    let by_rank = [
+        Occupancy::Unread { since: start },
+        Occupancy::Idle { since: start },
+        silent(start + Duration::from_secs(59)),
+        Occupancy::Closing,
+    ];
+    for rank in 0..by_rank.len() {
+        assert_eq!(chosen(&by_rank[..=rank], now), Choice::Evict(rank));
+    }
+}
+
+#[test]
+fn of_several_the_one_that_is_without_bytes_the_longest_is_closed() {
+    let start = Instant::now();
+    let at = |ms| start + MILLISECOND * ms;
+    // The last one began first, but its bytes still arrive.
+    let slow = Occupancy::Incomplete {
+        began: start,
+        last_bytes: at(880),
+    };
+    let connections = [silent(at(500)), silent(at(300)), silent(at(400)), slow];
+    assert_eq!(chosen(&connections, at(900)), Choice::Evict(1));
+}
+
+#[test]
+fn a_request_that_may_still_be_arriving_is_waited_for() {
+    let start = Instant::now();
+    let connections = [silent(start + MILLISECOND), silent(start)];
+    assert_eq!(
+        chosen(&connections, start + MILLISECOND * 2),
+        Choice::NotBefore(start + STALL_TIME)
+    );
+    assert_eq!(chosen(&connections, start + STALL_TIME), Choice::Evict(1));
+}
+
+// Clients that send a byte at a time must not hold all places for as long as a head may take.
+#[test]
+fn a_request_that_arrives_byte_by_byte_protects_its_connection_only_for_a_limited_time() {
+    let began = Instant::now();
+    let trickling = |now| Occupancy::Incomplete {
+        began,
+        last_bytes: now,
+    };
+    let before = began + MAX_ARRIVAL_TIME - MILLISECOND;
+    assert_eq!(
+        chosen(&[trickling(before)], before),
+        Choice::NotBefore(began + MAX_ARRIVAL_TIME)
+    );
+    let after = began + MAX_ARRIVAL_TIME;
+    assert_eq!(chosen(&[trickling(after)], after), Choice::Evict(0));
+}
+
+#[test]
+fn idle_connections_give_way_to_new_ones_only_while_they_hold_most_places() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let idle = Occupancy::Idle {
+        since: now - MILLISECOND,
+    };
+    let (few, many) = ([idle, silent(now)], [idle, idle, silent(now)]);
+    assert_eq!(chosen(&few, now), Choice::NotBefore(now + STALL_TIME));
+    assert_eq!(chosen(&many, now), Choice::Evict(0));
+}
+
+#[test]
+fn a_client_that_does_not_read_its_answer_has_time_to_do_so() {
+    let since = Instant::now();
+    let unread = [Occupancy::Unread { since }, Occupancy::Answering];
+    let until = since + UNREAD_TIME;
+    assert_eq!(chosen(&unread, since), Choice::NotBefore(until));
+    assert_eq!(chosen(&unread, until), Choice::Evict(0));
+}
+
+/// Lets clients arrive at a sidecar with few places, and evicts as the sidecar does. Each connects
+/// at its time and then does not send anything more. Returns the longest time that one waited for a
+/// place.
+fn longest_wait(arrivals: &[Instant], places: usize) -> Duration {
+    let mut open: BTreeMap<usize, Occupancy> = BTreeMap::new();
+    let mut now = arrivals[0];
+    let mut longest = Duration::ZERO;
+    for (id, arrived) in arrivals.iter().enumerate() {
+        now = now.max(*arrived);
+        while open.len() >= places {
+            match choose(open.iter().map(|(id, o)| (*id, *o)), now) {
+                Choice::Evict(id) => drop(open.remove(&id)),
+                Choice::NotBefore(time) => now = time,
+                Choice::Nothing => panic!("nothing of {open:?} can be closed"),
+            }
+        }
+        longest = longest.max(now - *arrived);
+        open.insert(id, silent(now));
+    }
+    longest
+}
+
+// The promise of half a second after a request's time, whatever the number of descriptors and of
+// peers that connect and send nothing: each round of places takes at most the time after which a
+// request counts as stopped.
+#[test]
+fn a_new_client_waits_for_a_place_only_as_long_as_those_before_it_are_given() {
+    let start = Instant::now();
+    for (seed, places) in [6_usize, 20, 104, 440].into_iter().enumerate() {
+        let mut random = fastrand::Rng::with_seed(seed as u64);
+        for peers in [places + 1, 2 * places, 1000] {
+            for spread_ms in [0, 10, 1000] {
+                let mut arrivals: Vec<_> = (0..peers)
+                    .map(|_| start + MILLISECOND * random.u32(0..=spread_ms))
+                    .collect();
+                arrivals.sort();
+                let rounds = u32::try_from(peers.div_ceil(places)).expect("few");
+                assert!(
+                    longest_wait(&arrivals, places) <= STALL_TIME * rounds,
+                    "{peers} peers within {spread_ms} ms at {places} places"
+                );
+            }
+        }
+    }
+}
--- a/src/bin/sidecar/inbound.rs
+++ b/src/bin/sidecar/inbound.rs
@@ -1,6 +1,6 @@
-//! Accepts client connections, up to the limit.
+//! Accepts client connections.
 
-use crate::descriptors::ConnectionLimits;
+use crate::client_connections::ClientConnections;
 use crate::engine_handle::EngineHandle;
 use crate::log_throttle::{LogThrottle, suppressed_note};
 use crate::report::say;
@@ -11,10 +11,9 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -42,42 +41,16 @@
     socket.listen(BACKLOG)
 }
 
-/// The limit on client connections.
-struct ConnectionSlots {
-    permits: Arc<Semaphore>,
-    is_full: watch::Sender<bool>,
-}
-
-impl ConnectionSlots {
-    /// Waits for a permit. Silent clients must not block a request: while there is no permit, idle
-    /// connections are told to close. That stays in effect until there is one, as a connection that
-    /// was just accepted may not yet be listening.
-    async fn acquire(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
-            return Some(permit);
-        }
-        self.is_full.send_replace(true);
-        let permit = Arc::clone(&self.permits).acquire_owned().await.ok();
-        self.is_full.send_replace(false);
-        permit
-    }
-}
-
 /// Accepts connections until the shutdown has reached its stage; `longest_deadline` is the longest
 /// time that a client waits.
 pub async fn accept(
     listener: TcpListener,
-    limits: ConnectionLimits,
+    connections: Rc<ClientConnections>,
     request_classes: Rc<RequestClasses>,
     handle: EngineHandle,
     longest_deadline: Duration,
     shutdown: watch::Receiver<ShutdownStage>,
 ) {
-    let (is_full, fullness) = watch::channel(false);
-    let slots = ConnectionSlots {
-        permits: Arc::new(Semaphore::new(limits.clients)),
-        is_full,
-    };
     let mut shutdown_stage = shutdown.clone();
     let mut not_accepting = pin!(async move {
         shutdown_stage
@@ -88,19 +61,18 @@
     let session = Session {
         request_classes,
         handle,
-        is_full: fullness,
         stall_timeout: longest_deadline + ANSWER_GRACE_PERIOD,
         shutdown,
     };
     let serve = async |stream| {
-        // At the last stage a connection without a permit is served too: it already has a
+        // At the last stage a connection beyond the limit is served too: it already has a
         // descriptor, and its client is told of the shutdown.
-        let permit = tokio::select! {
+        tokio::select! {
             biased;
-            place = slots.acquire() => place,
-            () = session.wait_for_stage(ShutdownStage::Immediate) => None,
-        };
-        spawn_local(session.clone().run(stream, permit));
+            () = connections.wait_for_room() => {}
+            () = session.wait_for_stage(ShutdownStage::Immediate) => {}
+        }
+        spawn_local(session.clone().run(connections.open(stream)));
     };
     let mut log_throttle = LogThrottle::new(ACCEPT_LOG_INTERVAL);
     loop {
--- a/src/bin/sidecar/main.rs
+++ b/src/bin/sidecar/main.rs
@@ -10,6 +10,7 @@
 mod affinity_pages;
 mod attempt;
 mod client;
+mod client_connections;
 mod client_socket;
 mod clock;
 mod closing;
@@ -21,6 +22,7 @@
 mod endpoint_directory;
 mod engine;
 mod engine_handle;
+mod eviction;
 mod exit_error;
 #[cfg(feature = "product")]
 mod gossip;
@@ -56,6 +58,7 @@
 mod watch_schedule;
 mod write_progress;
 
+use client_connections::ClientConnections;
 use clock::Clock;
 use config::Config;
 use descriptors::ConnectionLimits;
@@ -153,7 +156,7 @@
     let mut engine_task = spawn_local(engine.run());
     let accept_task = spawn_local(inbound::accept(
         listener,
-        limits,
+        ClientConnections::new(limits.clients, observer.clone()),
         request_classes,
         handle,
         longest_deadline,
--- a/src/bin/sidecar/observer.rs
+++ b/src/bin/sidecar/observer.rs
@@ -3,6 +3,7 @@
 mod gossip;
 mod series;
 
+use crate::eviction::Occupancy;
 use crate::messages::{Answer, EngineSummary, OutgoingRequest};
 use load_balancer::{AttemptIndex, Micros, Outcome};
 use load_balancer_common::metering::MetricsRegistry;
@@ -89,6 +90,13 @@
         }
     }
 
+    /// Records a client connection that was closed for another one.
+    pub fn client_connection_evicted(&self, occupancy: Occupancy) {
+        if let Some(metrics) = &self.0 {
+            metrics.connections_evicted[occupancy.label_index()].increment(1);
+        }
+    }
+
     /// Records an answer of discovery.
     pub fn list_received(&self) {
         if let Some(metrics) = &self.0 {
--- a/src/bin/sidecar/observer/series.rs
+++ b/src/bin/sidecar/observer/series.rs
@@ -1,5 +1,6 @@
 //! The metrics of requests, attempts and lists, registered once at the start.
 
+use crate::eviction::Occupancy;
 use load_balancer::Outcome;
 use load_balancer_common::cli;
 use load_balancer_common::metering::MetricsRegistry;
@@ -32,6 +33,8 @@
     pub attempts: [AttemptMetrics; OUTCOMES.len()],
     pub retries: Counter,
     pub given_up: [Counter; GIVEN_UP_REASONS.len()],
+    /// By what they were occupied with, in the order of [`Occupancy::LABELS`].
+    pub connections_evicted: [Counter; Occupancy::LABELS.len()],
     pub circuits_open: Gauge,
     pub queued: Gauge,
     pub open: Gauge,
@@ -80,6 +83,14 @@
                 &labels,
             )
         };
+        let evicted = |state| {
+            let labels = [("state", state)];
+            f.counter(
+                "sidecar_client_connections_evicted_total",
+                "Client connections closed to make room for others, by state.",
+                &labels,
+            )
+        };
         let endpoints = |state| {
             let labels = [("state", state)];
             f.gauge(
@@ -96,6 +107,7 @@
             attempts: OUTCOMES.map(|(_, label)| attempt_metrics(f, label)),
             retries: counter("sidecar_retries_total", "Attempts after a request's first."),
             given_up: GIVEN_UP_REASONS.map(given_up),
+            connections_evicted: Occupancy::LABELS.map(evicted),
             circuits_open: gauge("sidecar_circuits_open", "Endpoints whose circuit is open."),
             queued: gauge(
                 "sidecar_queued_requests",
--- a/src/bin/sidecar/product_disabled.rs
+++ b/src/bin/sidecar/product_disabled.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::eviction::Occupancy;
 use crate::exit_error::ExitError;
 use crate::host_list::HostList;
 use crate::messages::{Answer, InputSender, OutgoingRequest};
@@ -30,7 +31,7 @@
 
     /// Records nothing.
     pub fn observer(&self, _: &[String]) -> Observer {
-        Observer
+        Observer::disabled()
     }
 
     /// Stores nothing.
@@ -138,6 +139,10 @@
 pub struct Observer;
 
 impl Observer {
+    /// The only one.
+    pub fn disabled() -> Self {
+        Self
+    }
     /// Ignores a new request.
     pub fn request_accepted(&self, _: usize, _: &OutgoingRequest) {}
     /// Ignores the start of an attempt.
@@ -146,6 +151,8 @@
     pub fn attempt_ended(&self, _: Option<&OutgoingRequest>, _: Outcome, _: Micros) {}
     /// Ignores the answer to a request.
     pub fn request_answered(&self, _: usize, _: &OutgoingRequest, _: Option<&Answer>, _: Micros) {}
+    /// Ignores a connection that was closed for another one.
+    pub fn client_connection_evicted(&self, _: Occupancy) {}
     /// Ignores an answer of discovery.
     pub fn list_received(&self) {}
 }
--- a/src/bin/sidecar/serving.rs
+++ b/src/bin/sidecar/serving.rs
@@ -109,11 +109,13 @@
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Ok(closing_reply(StatusCode::PAYLOAD_TOO_LARGE));
     }
+    client.set_awaiting_body(true);
     let collected = tokio::select! {
         biased;
         whole = timeout_at(body_deadline, Limited::new(body, MAX_BODY_BYTES).collect()) => whole,
         _ = shutdown.wait_for(|s| *s == ShutdownStage::Immediate) => return Ok(closing_reply(StatusCode::SERVICE_UNAVAILABLE)),
     };
+    client.set_awaiting_body(false);
     let body = match collected {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
--- a/src/bin/sidecar/session.rs
+++ b/src/bin/sidecar/session.rs
@@ -1,6 +1,7 @@
 //! One client connection, from accept to close.
 
 use crate::client::Client;
+use crate::client_connections::Place;
 use crate::client_socket::ClientSocket;
 use crate::closing::linger;
 use crate::engine_handle::EngineHandle;
@@ -15,8 +16,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, watch};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// Longest request head, in bytes.
@@ -39,8 +39,6 @@
     pub request_classes: Rc<RequestClasses>,
     /// The engine.
     pub handle: EngineHandle,
-    /// Whether idle connections have to close for new ones.
-    pub is_full: watch::Receiver<bool>,
     /// How long a client may leave an answer unread.
     pub stall_timeout: Duration,
     /// The stage of the shutdown.
@@ -49,13 +47,19 @@
 
 impl Session {
     /// Serves a connection and closes it. The process does not exit before this has completed.
-    pub async fn run(self, stream: TcpStream, _permit: Option<OwnedSemaphorePermit>) {
+    pub async fn run(self, place: Place) {
+        let client = place.client();
         // Without it an answer may wait for an acknowledgement, but failing to set it is no reason
         // to reject the connection.
-        let _ = stream.set_nodelay(true);
-        let client = Rc::new(Client::new(stream));
-        self.serve_requests(&client).await;
-        linger(client.stream(), self.wait_until_full()).await;
+        let _ = client.stream().set_nodelay(true);
+        tokio::select! {
+            biased;
+            // Before anything more is read: the choice holds for what had been read until then.
+            () = place.evicted() => {}
+            () = self.serve_requests(&client) => {}
+        }
+        client.begin_closing();
+        linger(client.stream(), place.evicted()).await;
     }
 
     /// Serves requests until the connection is to be closed and every answer is written.
@@ -101,7 +105,6 @@
             // Errors of a connection concern only its client, which got a 400 or has disconnected.
             _ = connection.as_mut() => return,
             () = self.wait_for_stage(ShutdownStage::Closing) => {}
-            () = self.wait_until_full() => {}
         }
         // A request that has arrived unnoticed is still served: closing now would cost its client a
         // retry.
@@ -113,16 +116,9 @@
                 break;
             }
         }
-        let grace = async {
-            tokio::select! {
-                biased;
-                () = self.wait_until_full() => {}
-                () = sleep(SHUTDOWN_IDLE_TIMEOUT) => {}
-            }
-        };
         let ended = tokio::select! {
             biased;
-            ended = finish(connection.as_mut(), client, grace) => ended,
+            ended = finish(connection.as_mut(), client) => ended,
             () = self.wait_for_stage(ShutdownStage::Immediate) => false,
         };
         if !ended {
@@ -131,20 +127,6 @@
         }
     }
 
-    /// Waits until idle connections have to close for new ones.
-    async fn wait_until_full(&self) {
-        if self
-            .is_full
-            .clone()
-            .wait_for(|crowded| *crowded)
-            .await
-            .is_err()
-        {
-            // No more connections are accepted.
-            pending().await
-        }
-    }
-
     /// Waits until the shutdown has reached a stage.
     pub async fn wait_for_stage(&self, stage: ShutdownStage) {
         if self
@@ -162,12 +144,9 @@
 /// Drives a connection until it has ended, which returns `true`, or until nothing more is waited
 /// for: during the grace period, a request that has partly arrived or that a new client is about to
 /// send; for the idle timeout, requests pipelined behind the one that is being answered.
-async fn finish(
-    mut connection: Pin<&mut impl Future>,
-    client: &Client,
-    grace: impl Future<Output = ()>,
-) -> bool {
-    let (mut grace, mut pipelined) = (pin!(grace), pin!(sleep(IDLE_TIMEOUT)));
+async fn finish(mut connection: Pin<&mut impl Future>, client: &Client) -> bool {
+    let mut grace = pin!(sleep(SHUTDOWN_IDLE_TIMEOUT));
+    let mut pipelined = pin!(sleep(IDLE_TIMEOUT));
     let mut grace_over = false;
     poll_fn(|cx| {
         if connection.as_mut().poll(cx).is_ready() {
--- a/tests/sidecar/closing.rs
+++ b/tests/sidecar/closing.rs
@@ -3,7 +3,6 @@
 
 use crate::ok;
 use crate::stubs::*;
-use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::Mutex;
@@ -13,16 +12,6 @@
 /// buffer.
 const UNREAD: usize = 48_000;
 
-/// A client whose system buffers only a few KiB.
-fn client_with_small_buffer(sidecar: &Sidecar) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(4096).expect("it can be small");
-    socket
-        .connect(&sidecar.address.into())
-        .expect("the sidecar accepts");
-    socket.into()
-}
-
 /// Whether the peer closes the connection without a reset; a reset after the end is only reported
 /// when closing.
 fn closes_cleanly(stream: &mut TcpStream) -> bool {
@@ -47,7 +36,7 @@
         Reply::Answer(200, "", body.clone())
     });
     let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
-    let mut client = client_with_small_buffer(&sidecar);
+    let mut client = sidecar.connect_with_small_buffer();
     let here = client.local_addr().expect("an address");
     let last = request("book", "Connection: close\r\n", "") + &"x".repeat(UNREAD);
     client
@@ -148,7 +137,7 @@
             .replace("8000000", "200000")
     };
     let sidecar = Sidecar::start_altered(&discovery, &[("s-1", &endpoint)], 1024, quick);
-    let mut client = client_with_small_buffer(&sidecar);
+    let mut client = sidecar.connect_with_small_buffer();
     let here = client.local_addr().expect("an address");
     // 12 MB of answers; the system buffers at most 4 MB.
     client
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod restarts;
 mod room;
+mod stalled_clients;
 mod starting;
 mod stopping;
 mod two_settings;
--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -4,6 +4,7 @@
 use super::endpoint::Endpoint;
 use super::message::{Message, read_message, read_message_within};
 use super::{LOCALHOST, Reserved, STARTED, TEST_TIMEOUT, wait_until};
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -175,6 +176,16 @@
         TcpStream::connect(self.address).expect("the sidecar accepts")
     }
 
+    /// A client whose system buffers only a few KiB of answers.
+    pub fn connect_with_small_buffer(&self) -> TcpStream {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("it can be small");
+        socket
+            .connect(&self.address.into())
+            .expect("the sidecar accepts");
+        socket.into()
+    }
+
     /// Number of file descriptors of the process.
     pub fn descriptors(&self) -> usize {
         let held = std::fs::read_dir(format!("/proc/{}/fd", self.process.id()));
