--- a/crates/coordinator/src/serve.rs
+++ b/crates/coordinator/src/serve.rs
@@ -63,14 +63,35 @@
     }
 }
 
-/// An open connection, and whether it carried messages of a coordinator.
+/// What is known of a connection.
+#[derive(Clone, Default)]
+struct ConnectionState {
+    /// It carried messages of a coordinator.
+    from_coordinator: Rc<Cell<bool>>,
+    /// A complete request waits for its answer.
+    is_answering: Rc<Cell<bool>>,
+}
+
+/// An open connection.
 struct OpenConnection {
     handle: AbortHandle,
-    from_coordinator: Rc<Cell<bool>>,
+    state: ConnectionState,
 }
 
-/// Serves until the process ends. Above `max_connections` the oldest connection is closed, except
-/// for those of coordinators, so that idle readers cannot block others.
+/// The connection to close for a new one: the oldest without a request to answer, or else the
+/// oldest; never one of a coordinator. The connections are in the order in which they were accepted.
+fn connection_to_close(connections: &VecDeque<OpenConnection>) -> Option<usize> {
+    let oldest = |may_be_answering: bool| {
+        connections.iter().position(|connection| {
+            let state = &connection.state;
+            !state.from_coordinator.get() && (may_be_answering || !state.is_answering.get())
+        })
+    };
+    oldest(false).or_else(|| oldest(true))
+}
+
+/// Serves until the process ends. Above `max_connections` one is closed for each new one, so that
+/// connections that are idle or stop in the middle of a request cannot block others.
 pub async fn serve<F, P>(
     listener: TcpListener,
     max_connections: usize,
@@ -91,25 +112,22 @@
         let mut connections = open_connections.borrow_mut();
         connections.retain(|connection| !connection.handle.is_finished());
         if connections.len() >= max_connections {
-            let Some(oldest) = connections
-                .iter()
-                .position(|one| !one.from_coordinator.get())
-            else {
+            let Some(index) = connection_to_close(&connections) else {
                 continue;
             };
-            if let Some(oldest) = connections.remove(oldest) {
-                oldest.handle.abort();
+            if let Some(closed) = connections.remove(index) {
+                closed.handle.abort();
             }
         }
-        let from_coordinator = Rc::new(Cell::new(false));
-        let (pages, mark) = (pages.clone(), Rc::clone(&from_coordinator));
+        let state = ConnectionState::default();
+        let (pages, served) = (pages.clone(), state.clone());
         let service = service_fn(move |request| {
             answer(
                 request,
                 time_limit,
                 max_body_bytes,
                 pages.clone(),
-                Rc::clone(&mark),
+                served.clone(),
             )
         });
         let task = spawn_local(async move {
@@ -124,7 +142,7 @@
         });
         connections.push_back(OpenConnection {
             handle: task.abort_handle(),
-            from_coordinator,
+            state,
         });
     }
 }
@@ -134,7 +152,7 @@
     time_limit: Duration,
     max_body_bytes: usize,
     pages: P,
-    from_coordinator: Rc<Cell<bool>>,
+    state: ConnectionState,
 ) -> Result<Response<Full<Bytes>>, Infallible>
 where
     P: Fn(PageRequest, Rc<Cell<bool>>) -> F,
@@ -170,7 +188,10 @@
         sender: from.map(str::to_owned),
         content,
     };
-    Ok(response(pages(page_request, from_coordinator).await))
+    state.is_answering.set(true);
+    let answer = pages(page_request, Rc::clone(&state.from_coordinator)).await;
+    state.is_answering.set(false);
+    Ok(response(answer))
 }
 
 fn response(answer: Answer) -> Response<Full<Bytes>> {
@@ -185,3 +206,6 @@
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
+
+#[cfg(test)]
+mod tests;
