--- a/src/bin/sidecar/discovery.rs
+++ b/src/bin/sidecar/discovery.rs
@@ -7,6 +7,7 @@
 use crate::messages::{Input, InputSender};
 use crate::watch_schedule::{CALL_TIMEOUT, CallTimes, WatchSchedule};
 use call::{CallFailure, call};
+use load_balancer::Discovery as DiscoveryMode;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,21 +31,39 @@
     Fetch,
 }
 
+/// What one address of discovery has answered.
+struct HeldList {
+    /// The version that is held, if it came from this address.
+    version: Cell<Option<u64>>,
+    /// When a call was last answered.
+    answered_at: Cell<Option<Instant>>,
+}
+
 /// Follows the list at one address. It is dropped when discovery moves.
 struct ListFollower {
     address: SocketAddr,
-    /// The version that is held, if it came from this address.
-    held_version: Rc<Cell<Option<u64>>>,
+    mode: DiscoveryMode,
+    held: Rc<HeldList>,
     inputs: InputSender,
     watch_task: Option<AbortHandle>,
     fetch_task: Option<AbortHandle>,
 }
 
 impl ListFollower {
-    fn new(address: SocketAddr, held_version: Option<u64>, inputs: InputSender) -> Self {
+    fn new(
+        address: SocketAddr,
+        mode: DiscoveryMode,
+        held_version: Option<u64>,
+        inputs: InputSender,
+    ) -> Self {
+        let held = HeldList {
+            version: Cell::new(held_version),
+            answered_at: Cell::default(),
+        };
         Self {
             address,
-            held_version: Rc::new(Cell::new(held_version)),
+            mode,
+            held: Rc::new(held),
             inputs,
             watch_task: None,
             fetch_task: None,
@@ -60,9 +79,10 @@
         let schedule = WatchSchedule::new(self.watch_task.is_some());
         let task = keep_watching(
             self.address,
+            self.mode,
             schedule,
             rng,
-            Rc::clone(&self.held_version),
+            Rc::clone(&self.held),
             self.inputs.clone(),
         );
         self.watch_task = Some(spawn_local(task).abort_handle());
@@ -78,18 +98,14 @@
         if is_running(&self.fetch_task) {
             return;
         }
-        let (address, held_version, inputs) = (
-            self.address,
-            Rc::clone(&self.held_version),
-            self.inputs.clone(),
-        );
+        let (address, held, inputs) = (self.address, Rc::clone(&self.held), self.inputs.clone());
         let fetch = async move {
             let times = CallTimes {
                 wait: Duration::ZERO,
                 timeout: CALL_TIMEOUT,
             };
             let answer = call(address, &mut None, None, times).await;
-            report_answer(answer, None, &held_version, &inputs);
+            held.report(answer, None, times, &inputs);
         };
         self.fetch_task = Some(spawn_local(fetch).abort_handle());
     }
@@ -115,6 +131,7 @@
 /// continues at the new address at once.
 pub async fn run(
     mut address: watch::Receiver<SocketAddr>,
+    mode: DiscoveryMode,
     cached_version: Option<u64>,
     seed: u64,
     mut requests: mpsc::UnboundedReceiver<DiscoveryRequest>,
@@ -122,7 +139,7 @@
 ) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let start_address = *address.borrow_and_update();
-    let mut follower = ListFollower::new(start_address, cached_version, inputs.clone());
+    let mut follower = ListFollower::new(start_address, mode, cached_version, inputs.clone());
     loop {
         tokio::select! {
             biased;
@@ -130,7 +147,7 @@
                 let was_watching = follower.watch_task.is_some();
                 let new_address = *address.borrow_and_update();
                 // The version numbers there may differ, so the whole list is fetched first.
-                follower = ListFollower::new(new_address, None, inputs.clone());
+                follower = ListFollower::new(new_address, mode, None, inputs.clone());
                 if was_watching {
                     follower.watch(rng.fork());
                 }
@@ -145,66 +162,90 @@
     }
 }
 
-/// Repeats calls until one fails; the decision module then requests the next watch.
+/// Repeats calls until one fails in another way than by a timeout or a refusal; the decision module
+/// then requests the next watch.
 async fn keep_watching(
     address: SocketAddr,
+    mode: DiscoveryMode,
     mut schedule: WatchSchedule,
     mut rng: fastrand::Rng,
-    held_version: Rc<Cell<Option<u64>>>,
+    held: Rc<HeldList>,
     inputs: InputSender,
 ) {
     let mut connection = None;
     loop {
-        let next_call = Instant::now() + MIN_CALL_INTERVAL;
-        let after = held_version.get();
-        let answer = call(
-            address,
-            &mut connection,
-            after,
-            schedule.next_call(after.is_some(), rng.f64()),
-        )
-        .await;
-        let continues = match &answer {
+        let earliest_next_call = Instant::now() + MIN_CALL_INTERVAL;
+        let after = held.version.get();
+        let times = schedule.next_call(after.is_some(), rng.f64());
+        let answer = call(address, &mut connection, after, times).await;
+        let delay = match &answer {
             Ok(_) => {
                 schedule.record_answer();
-                true
+                Some(Duration::ZERO)
             }
             Err(CallFailure::TimedOut) => {
                 schedule.record_timeout();
-                true
+                Some(Duration::ZERO)
+            }
+            // Calls to an agent that is sent the list cost nothing, so they are repeated sooner.
+            Err(CallFailure::Refused { retry_after, .. }) if mode == DiscoveryMode::OnRequest => {
+                Some(schedule.record_refusal(*retry_after, rng.f64()))
             }
-            Err(CallFailure::Error(_)) => false,
+            Err(CallFailure::Refused { .. } | CallFailure::Error(_)) => None,
         };
-        report_answer(answer, after, &held_version, &inputs);
-        if !continues {
-            return;
-        }
-        sleep_until(next_call).await;
+        held.report(answer, after, times, &inputs);
+        let Some(delay) = delay else { return };
+        sleep_until(earliest_next_call.max(Instant::now() + delay)).await;
     }
 }
 
-/// Forwards a failure, or the answer to a call for changes after that version.
-fn report_answer(
-    answer: Result<HostList, CallFailure>,
-    asked_after: Option<u64>,
-    held_version: &Cell<Option<u64>>,
-    inputs: &InputSender,
-) {
-    match answer {
-        Ok(list) => {
-            let current = held_version.get();
-            if current != asked_after && current > Some(list.index) {
-                // Another call has brought a newer version in the meantime.
-                return;
+impl HeldList {
+    /// Forwards a failure, or the answer to a call for changes after that version.
+    fn report(
+        &self,
+        answer: Result<HostList, CallFailure>,
+        asked_after: Option<u64>,
+        times: CallTimes,
+        inputs: &InputSender,
+    ) {
+        let list = match answer {
+            Ok(list) => list,
+            Err(failure) => {
+                let message = self.describe(&failure, asked_after, times);
+                return inputs.send(Input::ListFailed(message));
             }
-            // Changes up to an earlier version mean that discovery has started over: the versions
-            // they are based on are not held here.
-            let is_continuous =
-                list.snapshot || asked_after.is_none_or(|after| after <= list.index);
-            held_version.set(is_continuous.then_some(list.index));
-            inputs.send(Input::EndpointList(list));
+        };
+        self.answered_at.set(Some(Instant::now()));
+        let current = self.version.get();
+        if current != asked_after && current > Some(list.index) {
+            // Another call has brought a newer version in the meantime.
+            return;
         }
-        Err(CallFailure::TimedOut) => inputs.send(Input::ListFailed("no answer".to_owned())),
-        Err(CallFailure::Error(message)) => inputs.send(Input::ListFailed(message)),
+        // Changes up to an earlier version mean that discovery has started over: the versions they
+        // are based on are not held here.
+        let is_continuous = list.snapshot || asked_after.is_none_or(|after| after <= list.index);
+        self.version.set(is_continuous.then_some(list.index));
+        inputs.send(Input::EndpointList(list));
+    }
+
+    /// Describes a failed call, and for how long the list has not been confirmed.
+    fn describe(
+        &self,
+        failure: &CallFailure,
+        asked_after: Option<u64>,
+        times: CallTimes,
+    ) -> String {
+        let call = match asked_after {
+            Some(version) => format!(
+                "changes after {version}, wait {} ms",
+                times.wait.as_millis()
+            ),
+            None => "whole list".to_owned(),
+        };
+        let age = match self.answered_at.get() {
+            Some(time) => format!("last answered {:.1} s ago", time.elapsed().as_secs_f64()),
+            None => "not answered yet".to_owned(),
+        };
+        format!("{failure} ({call}; {age})")
     }
 }
--- a/src/bin/sidecar/discovery/call.rs
+++ b/src/bin/sidecar/discovery/call.rs
@@ -5,21 +5,49 @@
 use crate::watch_schedule::{CALL_TIMEOUT, CallTimes};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Request, StatusCode};
+use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Longest list, in bytes.
 const MAX_LIST_BYTES: usize = 4 << 20;
 
 /// Why a call brought no list.
+#[derive(Debug)]
 pub(super) enum CallFailure {
     /// No complete answer came back in time.
     TimedOut,
+    /// Discovery is overloaded.
+    Refused {
+        /// The status of its answer.
+        status: StatusCode,
+        /// When to call again, if it said so.
+        retry_after: Option<Duration>,
+    },
     /// It failed in another way.
     Error(String),
 }
 
+impl fmt::Display for CallFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TimedOut => f.write_str("no answer"),
+            Self::Refused {
+                status,
+                retry_after: None,
+            } => write!(f, "status {}", status.as_u16()),
+            Self::Refused {
+                status,
+                retry_after: Some(time),
+            } => write!(f, "status {}, Retry-After {time:?}", status.as_u16()),
+            Self::Error(message) => f.write_str(message),
+        }
+    }
+}
+
 impl From<&str> for CallFailure {
     fn from(message: &str) -> Self {
         Self::Error(message.to_owned())
@@ -74,11 +102,15 @@
         .ok_or("connection lost")?
         .map_err(call_error)?
         .to_bytes();
-    if head.status != StatusCode::OK {
-        return Err(CallFailure::Error(format!(
-            "status {}",
-            head.status.as_u16()
-        )));
+    match head.status {
+        StatusCode::OK => {}
+        status @ (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
+            return Err(CallFailure::Refused {
+                status,
+                retry_after: retry_after(&head.headers),
+            });
+        }
+        status => return Err(CallFailure::Error(format!("status {}", status.as_u16()))),
     }
     *idle_connection = Some(connection);
     let list: HostList = serde_json::from_slice(&body)
@@ -90,6 +122,12 @@
     Ok(list)
 }
 
+/// The `Retry-After` of an answer, in seconds, whole or decimal; other forms are ignored.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 fn call_error(error: impl ToString) -> CallFailure {
     CallFailure::Error(error.to_string())
 }
--- a/src/bin/sidecar/engine/start.rs
+++ b/src/bin/sidecar/engine/start.rs
@@ -65,7 +65,7 @@
             limits.dial_timeout,
             decoded.idle_close,
         ));
-        let pushed = decoded.settings.discovery == Discovery::Pushed;
+        let mode = decoded.settings.discovery;
         let mut balancer = Balancer::new(decoded.settings, config.seed)?;
         if let Some(fleet) = &fleet {
             balancer.set_sharing(fleet.sharing());
@@ -96,11 +96,12 @@
         spawn_local(pool.retire_idle());
         let cached_version = config.cached_list.as_ref().map(|list| list.index);
         // If changes are pushed, the module never requests them: a watch delivers them unrequested.
-        if pushed {
+        if mode == Discovery::Pushed {
             let _ = engine.discovery_requests.send(DiscoveryRequest::Watch);
         }
         spawn_local(discovery::run(
             discovery_at,
+            mode,
             cached_version,
             config.seed,
             request_receiver,
--- a/src/bin/sidecar/watch_schedule.rs
+++ b/src/bin/sidecar/watch_schedule.rs
@@ -19,6 +19,24 @@
 /// not all call again at the same time.
 const MIN_WAIT_FRACTION: f64 = 0.75;
 
+/// Longest delay after a call that discovery has refused because it is overloaded. A watch that ended
+/// without an answer at its timeout, the decision module's delay and one refusal must leave time for
+/// another call before `CHANGE_DEADLINE`.
+const MAX_REFUSAL_DELAY: Duration = CHANGE_DEADLINE
+    .saturating_sub(MAX_WATCH_WAIT)
+    .saturating_sub(CALL_TIMEOUT)
+    .saturating_sub(Duration::from_millis(600));
+/// Upper bound of the delay after the first refusal in a row; it doubles from one to the next.
+const FIRST_REFUSAL_DELAY: Duration = Duration::from_millis(700);
+/// Upper bound of the exponent of that delay.
+const MAX_REFUSAL_DOUBLINGS: i32 = 8;
+/// Shortest delay as a fraction of its upper bound: sidecars that were refused at the same time must
+/// not all call again at the same time.
+const MIN_DELAY_FRACTION: f64 = 0.5;
+/// Range above a `Retry-After` over which the calls that were told of it are spread, as a fraction
+/// of it.
+const RETRY_AFTER_SPREAD: f64 = 0.25;
+
 /// The times of one call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallTimes {
@@ -32,6 +50,8 @@
 pub struct WatchSchedule {
     /// Consecutive calls that may have missed a change.
     missed: u32,
+    /// Consecutive refused calls.
+    refusals: i32,
 }
 
 impl WatchSchedule {
@@ -39,6 +59,7 @@
     pub fn new(after_failure: bool) -> Self {
         Self {
             missed: u32::from(after_failure),
+            refusals: 0,
         }
     }
 
@@ -70,11 +91,33 @@
     /// Records an answer.
     pub fn record_answer(&mut self) {
         self.missed = 0;
+        self.refusals = 0;
     }
 
     /// Records a timeout. The next call follows at once, as this one has taken long enough.
     pub fn record_timeout(&mut self) {
         self.missed = self.missed.saturating_add(1);
+        self.refusals = 0;
+    }
+
+    /// Records a refusal by an overloaded discovery, and returns the delay before the next call;
+    /// `random` is from 0 to 1. A refused call costs discovery work too, so the delay is longer than
+    /// after other failures, up to a limit that `retry_after` does not exceed either.
+    ///
+    /// The next call may wait for changes, and brings those of the meantime at once: after one
+    /// without a wait, the watch would have to be admitted by a second call.
+    pub fn record_refusal(&mut self, retry_after: Option<Duration>, random: f64) -> Duration {
+        self.missed = self.missed.saturating_add(self.missed % 2);
+        let bound = FIRST_REFUSAL_DELAY
+            .mul_f64(f64::powi(2.0, self.refusals))
+            .min(MAX_REFUSAL_DELAY);
+        self.refusals = (self.refusals + 1).min(MAX_REFUSAL_DOUBLINGS);
+        let delay = bound.mul_f64(MIN_DELAY_FRACTION + (1.0 - MIN_DELAY_FRACTION) * random);
+        let retry_after = retry_after
+            .unwrap_or_default()
+            .min(MAX_REFUSAL_DELAY.div_f64(1.0 + RETRY_AFTER_SPREAD))
+            .mul_f64(1.0 + RETRY_AFTER_SPREAD * random);
+        delay.max(retry_after)
     }
 }
 
--- a/src/bin/sidecar/watch_schedule/tests.rs
+++ b/src/bin/sidecar/watch_schedule/tests.rs
@@ -1,5 +1,7 @@
 //! Tests that changes are received before the protocol assumes them to be known.
 
+mod overload;
+
 use super::*;
 use load_balancer::{Action, Balancer, Event, ListUpdate, Micros, settings};
 use std::collections::BTreeSet;
@@ -30,20 +32,24 @@
     Unconnected,
     /// The connection is refused, or the answer is an error or not a list.
     Refused,
+    /// Discovery answers that it is overloaded.
+    Overloaded,
     /// The connection is reset or closed just before the call times out.
     ResetLate,
 }
 
-const FAILED_CALLS: [FailedCall; 4] = [
+const FAILED_CALLS: [FailedCall; 5] = [
     FailedCall::Silent,
     FailedCall::Unconnected,
     FailedCall::Refused,
+    FailedCall::Overloaded,
     FailedCall::ResetLate,
 ];
 
 /// Follows a list as `discovery` and the engine do: after a failed call the module requests the
 /// next watch.
 struct Follower {
+    mode: String,
     balancer: Balancer,
     timers: BTreeSet<(Micros, u64)>,
     schedule: WatchSchedule,
@@ -70,6 +76,7 @@
         let balancer = Balancer::new(settings, seed).expect("usable settings");
         let (timers, schedule) = (BTreeSet::new(), WatchSchedule::new(false));
         let mut follower = Self {
+            mode: mode.to_owned(),
             balancer,
             timers,
             schedule,
@@ -109,7 +116,7 @@
         let elapsed = match how {
             FailedCall::Silent => call.timeout,
             FailedCall::Unconnected => CALL_TIMEOUT.min(call.timeout),
-            FailedCall::Refused => Duration::ZERO,
+            FailedCall::Refused | FailedCall::Overloaded => Duration::ZERO,
             FailedCall::ResetLate => call.timeout - Duration::from_millis(1),
         };
         let ended = started + elapsed.as_micros() as Micros;
@@ -121,7 +128,15 @@
         self.handle(Event::Endpoints(ListUpdate::Failed));
         match how {
             FailedCall::Silent | FailedCall::Unconnected => self.schedule.record_timeout(),
-            FailedCall::Refused | FailedCall::ResetLate => {
+            FailedCall::Overloaded if self.mode == "on_request" => {
+                let delay = self.schedule.record_refusal(None, self.random);
+                let next = ended + delay.as_micros() as Micros;
+                while self.timers.first().is_some_and(|timer| timer.0 <= next) {
+                    self.fire_next_timer();
+                }
+                self.now = next;
+            }
+            FailedCall::Refused | FailedCall::Overloaded | FailedCall::ResetLate => {
                 while !self.fire_next_timer() {}
                 self.schedule = WatchSchedule::new(true);
             }
@@ -293,3 +308,32 @@
     schedule.record_answer();
     assert!(schedule.next_call(true, 0.0).wait > Duration::ZERO);
 }
+
+// After one without a wait the watch would have to be admitted by a second call, which an overloaded
+// discovery refuses again: no watch was ever opened then.
+#[test]
+fn a_refused_call_is_followed_by_one_that_waits_for_changes() {
+    for after_failure in [false, true] {
+        let mut schedule = WatchSchedule::new(after_failure);
+        for _ in 0..10 {
+            schedule.record_refusal(None, 0.5);
+            assert!(schedule.next_call(true, 0.0).wait > Duration::ZERO);
+        }
+    }
+}
+
+#[test]
+fn a_refusal_that_says_when_to_call_again_is_honoured_up_to_the_deadline_of_changes() {
+    let delay =
+        |retry_after, random| WatchSchedule::new(false).record_refusal(Some(retry_after), random);
+    let second = Duration::from_secs(1);
+    assert!(delay(second, 0.0) >= second);
+    assert!(
+        delay(second, 1.0) > delay(second, 0.0),
+        "all call again together"
+    );
+    for random in [0.0, 0.5, 1.0] {
+        assert!(delay(Duration::MAX, random) <= MAX_REFUSAL_DELAY);
+        assert!(delay(Duration::ZERO, random) > Duration::ZERO);
+    }
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -18,6 +18,7 @@
 mod lists;
 mod moves;
 mod odd_lists;
+mod overloaded_discovery;
 mod repeats;
 mod requests;
 mod restarts;
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -8,6 +8,7 @@
 mod held;
 mod holding;
 mod message;
+mod overloaded;
 mod sidecar;
 mod stop;
 
@@ -17,6 +18,7 @@
 pub use held::*;
 pub use holding::*;
 pub use message::*;
+pub use overloaded::*;
 pub use sidecar::*;
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
