--- a/src/bin/sidecar/request_headers.rs
+++ b/src/bin/sidecar/request_headers.rs
@@ -4,6 +4,7 @@
 use crate::messages::{CORRELATION_ID, TIME_LEFT};
 use hyper::Method;
 use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::http::uri::Authority;
 use load_balancer::{Effect, Micros};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -48,10 +49,13 @@
     pub work: Option<Micros>,
     /// Whether its client marked it as a retry.
     pub is_retry: bool,
+    /// Whether its class allows a body.
+    pub may_have_body: bool,
 }
 
 impl RequestHeaders {
-    /// Parses the headers; `None` if the request can't be served.
+    /// Parses the headers; `None` if this is no request of the protocol, which must not reach an
+    /// endpoint. With two values of a header that is read here, an endpoint might use the other one.
     pub fn parse(
         request_classes: &RequestClasses,
         method: &Method,
@@ -63,24 +67,30 @@
                 .and_then(|v| v.to_str().ok())
                 .map(str::trim)
         };
-        let class = text(&SERVICE_CLASS)?;
+        let only_text = |name: &HeaderName| {
+            let has_one = headers.get_all(name).iter().count() == 1;
+            text(name).filter(|text| has_one && !text.is_empty())
+        };
+        // HTTP/1.1 has a server reject a request without a valid Host, or with more than one.
+        let _: Authority = only_text(&header::HOST)?.parse().ok()?;
+        let class = only_text(&SERVICE_CLASS)?;
         let class = request_classes
             .classes
             .iter()
             .position(|(name, _)| name == class)?;
         // The method follows from the class: a request of another form does not have the effect
         // that the class declares.
-        let has_idempotency_key = headers.contains_key(IDEMPOTENCY_KEY);
-        let method_matches = match request_classes.classes[class].1 {
+        let effect = request_classes.classes[class].1;
+        let method_matches = match effect {
             Effect::Idempotent => method == Method::GET,
-            Effect::IdempotentByKey { .. } => method == Method::POST && has_idempotency_key,
-            Effect::NonIdempotent => method == Method::POST && !has_idempotency_key,
+            Effect::IdempotentByKey { .. } => {
+                method == Method::POST && only_text(&IDEMPOTENCY_KEY).is_some()
+            }
+            Effect::NonIdempotent => {
+                method == Method::POST && !headers.contains_key(IDEMPOTENCY_KEY)
+            }
         };
-        // With two ids, an endpoint might use either one.
-        let has_one_id = headers.get_all(CORRELATION_ID).iter().count() == 1;
-        headers
-            .get(CORRELATION_ID)
-            .filter(|id| method_matches && has_one_id && !id.is_empty())?;
+        only_text(&CORRELATION_ID).filter(|_| method_matches)?;
         let tenant = text(&ACCOUNT)
             .and_then(|account| request_classes.tenants.iter().position(|t| t == account));
         let work = text(&WEIGHT_HINT)
@@ -90,9 +100,10 @@
             class,
             tenant,
             key: object_key(headers),
-            time_left: parse_time_left(text(&TIME_LEFT)?)?,
+            time_left: parse_time_left(only_text(&TIME_LEFT)?)?,
             work,
             is_retry: text(&REPEAT) == Some("1"),
+            may_have_body: effect != Effect::Idempotent,
         })
     }
 }
--- a/src/bin/sidecar/serving.rs
+++ b/src/bin/sidecar/serving.rs
@@ -127,6 +127,9 @@
         },
         Err(_) => return Ok(closing_reply(StatusCode::REQUEST_TIMEOUT)),
     };
+    if !body.is_empty() && !parsed.may_have_body {
+        return Ok(closing_reply(StatusCode::BAD_REQUEST));
+    }
     let outgoing = OutgoingRequest {
         method: head.method,
         uri: origin_form(&head.uri),
--- a/tests/sidecar/requests.rs
+++ b/tests/sidecar/requests.rs
@@ -72,6 +72,39 @@
     assert_eq!(sidecar.ask(&good).expect("an answer").status(), 200);
 }
 
+// Anyone may connect: what is no request of the protocol used to be forwarded and served.
+#[test]
+fn a_request_that_http_or_its_class_does_not_allow_does_not_reach_an_endpoint() {
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| ok("served"));
+    let sidecar = Sidecar::start(&discovery, &[("s-1", &endpoint)]);
+    let (look, pay) = (request("look", "", ""), request("pay", "", ""));
+    let host = "Host: api.internal\r\n";
+    let key = "Idempotency-Key: 5c0f6e1a\r\n";
+    let chunked = request("look", "Transfer-Encoding: chunked\r\n", "");
+    for bad in [
+        request("look", "", "a body"),
+        chunked.replace("Content-Length: 0\r\n", "") + "1\r\na\r\n0\r\n\r\n",
+        look.replace(host, ""),
+        look.replace(host, "Host: \r\n"),
+        look.replace(host, "Host: a b\r\n"),
+        look.replace(host, &host.repeat(2)),
+        look.replace(host, &(host.to_owned() + "Host: other\r\n")),
+        pay.replace(key, "Idempotency-Key: \r\n"),
+        pay.replace(key, "Idempotency-Key:  \t \r\n"),
+        pay.replace(key, &(key.to_owned() + "Idempotency-Key: other\r\n")),
+        request("look", "X-Service-Class: book\r\n", ""),
+        request("look", "X-Time-Left: 5m\r\n", ""),
+    ] {
+        let answer = sidecar.ask(&bad).expect("an answer");
+        assert_eq!(answer.status(), 400, "{bad}");
+    }
+    assert_eq!(endpoint.requests(), 0);
+    for good in [look, pay] {
+        assert_eq!(sidecar.ask(&good).expect("an answer").status(), 200);
+    }
+}
+
 // A broken connection does not tell whether the request was executed, so a non-idempotent one must
 // neither be sent again nor be rejected, which would make the client retry it.
 #[test]
