--- a/src/bin/sidecar/attempt.rs
+++ b/src/bin/sidecar/attempt.rs
@@ -1,15 +1,21 @@
 //! One attempt at an endpoint: its destination, its time limits, and its result.
 
+use crate::load_report::parse_load_report;
 use crate::messages::{OutgoingRequest, ServedAnswer, TIME_LEFT};
 use crate::pool::{Endpoint, Target};
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
-use hyper::header::HeaderValue;
+use http_body_util::{Full, LengthLimitError};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Request, StatusCode};
 use load_balancer::{LoadReport, Outcome};
+use std::error::Error;
 use std::rc::Rc;
 use tokio::time::Instant;
 
+const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+const BACKEND_LOAD: HeaderName = HeaderName::from_static("x-backend-load");
+
 /// The result of an attempt.
 pub struct AttemptResult {
     /// The outcome.
@@ -37,6 +43,39 @@
     }
 }
 
+/// Interprets a response; its body is `None` if the connection ended before it was complete.
+pub fn attempt_result(
+    head: Parts,
+    body: Option<Result<Bytes, Box<dyn Error + Send + Sync>>>,
+) -> AttemptResult {
+    let load = head
+        .headers
+        .get(BACKEND_LOAD)
+        .map(parse_load_report)
+        .unwrap_or_default();
+    let is_unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
+    let outcome = match (head.status, body) {
+        (StatusCode::OK, Some(Ok(body))) => {
+            let headers = head.headers;
+            return AttemptResult {
+                outcome: Outcome::Ok,
+                served: Some(ServedAnswer { headers, body }),
+                load,
+            };
+        }
+        (StatusCode::OK, Some(Err(e))) if e.is::<LengthLimitError>() => Outcome::Error,
+        (StatusCode::OK, _) => Outcome::Reset,
+        // An incomplete response does not count as the rejection it claims to be.
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, Some(Ok(_)))
+            if is_unprocessed =>
+        {
+            Outcome::Rejected
+        }
+        _ => Outcome::Error,
+    };
+    AttemptResult::without_answer(outcome, load)
+}
+
 /// The destination of an attempt: the process it was decided for, and the endpoint, which may move
 /// or start draining in the meantime.
 pub struct Destination {
--- a/src/bin/sidecar/discovery.rs
+++ b/src/bin/sidecar/discovery.rs
@@ -2,13 +2,13 @@
 //! answers.
 
 mod call;
+mod held_list;
 
-use crate::host_list::HostList;
-use crate::messages::{Input, InputSender};
+use crate::messages::InputSender;
 use crate::watch_schedule::{CALL_TIMEOUT, CallTimes, WatchSchedule};
 use call::{CallFailure, call};
+use held_list::HeldList;
 use load_balancer::Discovery as DiscoveryMode;
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,14 +31,6 @@
     Fetch,
 }
 
-/// What one address of discovery has answered.
-struct HeldList {
-    /// The version that is held, if it came from this address.
-    version: Cell<Option<u64>>,
-    /// When a call was last answered.
-    answered_at: Cell<Option<Instant>>,
-}
-
 /// Follows the list at one address. It is dropped when discovery moves.
 struct ListFollower {
     address: SocketAddr,
@@ -56,14 +48,10 @@
         held_version: Option<u64>,
         inputs: InputSender,
     ) -> Self {
-        let held = HeldList {
-            version: Cell::new(held_version),
-            answered_at: Cell::default(),
-        };
         Self {
             address,
             mode,
-            held: Rc::new(held),
+            held: Rc::new(HeldList::new(held_version)),
             inputs,
             watch_task: None,
             fetch_task: None,
@@ -175,7 +163,7 @@
     let mut connection = None;
     loop {
         let earliest_next_call = Instant::now() + MIN_CALL_INTERVAL;
-        let after = held.version.get();
+        let after = held.version();
         let times = schedule.next_call(after.is_some(), rng.f64());
         let answer = call(address, &mut connection, after, times).await;
         let delay = match &answer {
@@ -198,54 +186,3 @@
         sleep_until(earliest_next_call.max(Instant::now() + delay)).await;
     }
 }
-
-impl HeldList {
-    /// Forwards a failure, or the answer to a call for changes after that version.
-    fn report(
-        &self,
-        answer: Result<HostList, CallFailure>,
-        asked_after: Option<u64>,
-        times: CallTimes,
-        inputs: &InputSender,
-    ) {
-        let list = match answer {
-            Ok(list) => list,
-            Err(failure) => {
-                let message = self.describe(&failure, asked_after, times);
-                return inputs.send(Input::ListFailed(message));
-            }
-        };
-        self.answered_at.set(Some(Instant::now()));
-        let current = self.version.get();
-        if current != asked_after && current > Some(list.index) {
-            // Another call has brought a newer version in the meantime.
-            return;
-        }
-        // Changes up to an earlier version mean that discovery has started over: the versions they
-        // are based on are not held here.
-        let is_continuous = list.snapshot || asked_after.is_none_or(|after| after <= list.index);
-        self.version.set(is_continuous.then_some(list.index));
-        inputs.send(Input::EndpointList(list));
-    }
-
-    /// Describes a failed call, and for how long the list has not been confirmed.
-    fn describe(
-        &self,
-        failure: &CallFailure,
-        asked_after: Option<u64>,
-        times: CallTimes,
-    ) -> String {
-        let call = match asked_after {
-            Some(version) => format!(
-                "changes after {version}, wait {} ms",
-                times.wait.as_millis()
-            ),
-            None => "whole list".to_owned(),
-        };
-        let age = match self.answered_at.get() {
-            Some(time) => format!("last answered {:.1} s ago", time.elapsed().as_secs_f64()),
-            None => "not answered yet".to_owned(),
-        };
-        format!("{failure} ({call}; {age})")
-    }
-}
--- a/src/bin/sidecar/main.rs
+++ b/src/bin/sidecar/main.rs
@@ -67,26 +67,13 @@
 use messages::InputSender;
 use product::Product;
 use report::say;
-use shutdown::ShutdownStage;
+use shutdown::{ShutdownStage, shut_down};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
-
-/// How long new connections are accepted after SIGTERM: clients continue to open them for up to 400
-/// ms.
-const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(500);
-/// After SIGTERM the platform waits at least the longest deadline, at most `MAX_GRACE_PERIOD`, plus
-/// 700 ms before SIGKILL. Requests still open this long after the deadline are failed, so that
-/// their answers are sent before that.
-const ANSWER_AFTER_TERM: Duration = Duration::from_millis(500);
-const MAX_GRACE_PERIOD: Duration = Duration::from_secs(3);
-/// Time to write the last answers.
-const FINAL_WRITE_TIME: Duration = Duration::from_millis(80);
+use tokio::task::{LocalSet, spawn_local};
 
 fn main() -> ExitCode {
     let mut product = match Product::begin() {
@@ -183,11 +170,7 @@
     if let Some(state) = &snapshot {
         state.stop(&inputs);
     }
-    let shutdown_task = shut_down(
-        shutdown,
-        accept_task,
-        longest_deadline.min(MAX_GRACE_PERIOD),
-    );
+    let shutdown_task = shut_down(shutdown, accept_task, longest_deadline);
     tokio::pin!(shutdown_task);
     // Open requests still depend on the list, so discovery is followed to the end.
     loop {
@@ -201,31 +184,6 @@
     }
 }
 
-/// Accepts late connections, waits for open requests, and fails the rest in time.
-async fn shut_down(
-    shutdown: watch::Sender<ShutdownStage>,
-    accept_task: JoinHandle<()>,
-    longest_deadline: Duration,
-) {
-    let started = Instant::now();
-    shutdown.send_replace(ShutdownStage::Closing);
-    sleep(ACCEPT_AFTER_TERM).await;
-    shutdown.send_replace(ShutdownStage::NotAccepting);
-    // Completes once every connection has ended.
-    let all_closed = async {
-        if accept_task.await.is_ok() {
-            shutdown.closed().await;
-        }
-    };
-    tokio::pin!(all_closed);
-    tokio::select! {
-        () = &mut all_closed => return,
-        () = sleep_until(started + longest_deadline + ANSWER_AFTER_TERM) => {}
-    }
-    shutdown.send_replace(ShutdownStage::Immediate);
-    let _ = timeout(FINAL_WRITE_TIME, all_closed).await;
-}
-
 /// Reloads what may change while the sidecar runs: the address of discovery. An invalid file
 /// changes nothing.
 fn reload(discovery: &watch::Sender<SocketAddr>, startup_only: &serde_json::Value) {
--- a/src/bin/sidecar/upstream.rs
+++ b/src/bin/sidecar/upstream.rs
@@ -1,30 +1,30 @@
 //! Attempts at endpoints: sends a request and interprets the response.
 
-use crate::attempt::{AttemptResult, AttemptTarget, AttemptTimes, Destination, prevented_outcome};
-use crate::connection::WriteProgress;
-use crate::load_report::parse_load_report;
+use crate::attempt::{
+    AttemptResult, AttemptTarget, AttemptTimes, Destination, attempt_result, prevented_outcome,
+};
+use crate::connection::{Connection, WriteProgress};
 use crate::messages::{
-    AttemptId, EndedAttempt, Input, InputSender, MAX_BODY_BYTES, OutgoingRequest, ServedAnswer,
+    AttemptId, EndedAttempt, Input, InputSender, MAX_BODY_BYTES, OutgoingRequest,
 };
 use crate::pool::{DialError, Pool};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, StatusCode, Uri};
+use http_body_util::{BodyExt, Collected, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Response, Uri};
 use load_balancer::{Micros, Outcome};
 use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Longest time of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
-const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
-const BACKEND_LOAD: HeaderName = HeaderName::from_static("x-backend-load");
-
 /// Makes attempts over the connections of a pool.
 pub struct Upstream {
     pool: Rc<Pool>,
@@ -99,25 +99,13 @@
         progress: &WriteProgress,
         times: AttemptTimes,
     ) -> AttemptResult {
-        let AttemptTarget { target, endpoint } = target_endpoint;
         loop {
             if let Some(outcome) = prevented_outcome(target_endpoint, outgoing, times) {
                 return outcome.into();
             }
-            let (mut connection, permit, reused) = match self.pool.take_idle(endpoint).await {
-                Some((connection, permit)) => (connection, permit, true),
-                None => match self.pool.dial(target.address).await {
-                    Ok((mut connection, permit)) => {
-                        // Makes the connection ready to write, and then handles what has happened
-                        // in the meantime, such as a client's disconnect or a new list.
-                        connection.poll_driver_once().await;
-                        yield_now().await;
-                        (connection, permit, false)
-                    }
-                    // Local resources are exhausted, which is not the endpoint's fault.
-                    Err(DialError::Exhausted) => return Outcome::NotSent.into(),
-                    Err(DialError::Unreachable) => return Outcome::ConnectFailed.into(),
-                },
+            let mut ready = match self.connect(target_endpoint).await {
+                Ok(ready) => ready,
+                Err(outcome) => return outcome.into(),
             };
             // The destination may have changed while dialling.
             if let Some(outcome) = prevented_outcome(target_endpoint, outgoing, times) {
@@ -126,59 +114,71 @@
             let Some(request) = outgoing.request(times.deadline) else {
                 return Outcome::NotSent.into();
             };
-            let Ok(response) = connection.request(request, progress.clone()).await else {
+            let response = ready.connection.request(request, progress.clone()).await;
+            match response {
+                Ok(response) => return self.receive(target_endpoint, ready, response).await,
                 // The endpoint closed the connection just as it was reused, before anything was
                 // written.
-                if reused && !progress.has_started() {
-                    continue;
-                }
-                return if progress.is_complete() {
-                    Outcome::Reset.into()
-                } else {
-                    Outcome::ConnectFailed.into()
-                };
-            };
-            let (head, body) = response.into_parts();
-            let body = connection
-                .drive(Limited::new(body, MAX_BODY_BYTES).collect())
-                .await;
-            let is_complete = body.as_ref().is_some_and(|b| b.is_ok());
-            let load = head
-                .headers
-                .get(BACKEND_LOAD)
-                .map(parse_load_report)
-                .unwrap_or_default();
-            let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
-            if is_complete {
-                self.pool.park(endpoint, target, connection, permit).await;
+                Err(_) if ready.is_reused && !progress.has_started() => {}
+                Err(_) if progress.is_complete() => return Outcome::Reset.into(),
+                Err(_) => return Outcome::ConnectFailed.into(),
             }
-            return match (head.status, body) {
-                (StatusCode::OK, Some(Ok(body))) => {
-                    let served = ServedAnswer {
-                        headers: head.headers,
-                        body: body.to_bytes(),
-                    };
-                    AttemptResult {
-                        outcome: Outcome::Ok,
-                        served: Some(served),
-                        load,
-                    }
-                }
-                (StatusCode::OK, Some(Err(e))) if e.is::<http_body_util::LengthLimitError>() => {
-                    AttemptResult::without_answer(Outcome::Error, load)
-                }
-                (StatusCode::OK, _) => AttemptResult::without_answer(Outcome::Reset, load),
-                // An incomplete response does not count as the rejection it claims to be.
-                (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, Some(Ok(_)))
-                    if unprocessed =>
-                {
-                    AttemptResult::without_answer(Outcome::Rejected, load)
-                }
-                _ => AttemptResult::without_answer(Outcome::Error, load),
-            };
         }
     }
 
+    /// Takes an idle connection to the endpoint, or else dials a new one; the outcome of the attempt
+    /// if there is none.
+    async fn connect(&self, to: AttemptTarget<'_>) -> Result<ReadyConnection, Outcome> {
+        if let Some((connection, permit)) = self.pool.take_idle(to.endpoint).await {
+            return Ok(ReadyConnection {
+                connection,
+                permit,
+                is_reused: true,
+            });
+        }
+        match self.pool.dial(to.target.address).await {
+            Ok((mut connection, permit)) => {
+                // Makes the connection ready to write, and then handles what has happened in the
+                // meantime, such as a client's disconnect or a new list.
+                connection.poll_driver_once().await;
+                yield_now().await;
+                Ok(ReadyConnection {
+                    connection,
+                    permit,
+                    is_reused: false,
+                })
+            }
+            // Local resources are exhausted, which is not the endpoint's fault.
+            Err(DialError::Exhausted) => Err(Outcome::NotSent),
+            Err(DialError::Unreachable) => Err(Outcome::ConnectFailed),
+        }
+    }
+
+    /// Reads the body of a response, and keeps the connection if that is complete.
+    async fn receive(
+        &self,
+        from: AttemptTarget<'_>,
+        ready: ReadyConnection,
+        response: Response<Incoming>,
+    ) -> AttemptResult {
+        let ReadyConnection {
+            mut connection,
+            permit,
+            ..
+        } = ready;
+        let (head, body) = response.into_parts();
+        let body = connection
+            .drive(Limited::new(body, MAX_BODY_BYTES).collect())
+            .await;
+        if body.as_ref().is_some_and(Result::is_ok) {
+            let parked = self
+                .pool
+                .park(from.endpoint, from.target, connection, permit);
+            parked.await;
+        }
+        attempt_result(head, body.map(|body| body.map(Collected::to_bytes)))
+    }
+
     /// Probes an endpoint, if the settings permit it, and reports the outcome.
     pub async fn probe(self: Rc<Self>, id: usize, inputs: InputSender) {
         let (start, endpoint) = (Instant::now(), self.pool.endpoint(id));
@@ -217,3 +217,11 @@
         });
     }
 }
+
+/// A connection on which a request may be written.
+struct ReadyConnection {
+    connection: Connection,
+    permit: OwnedSemaphorePermit,
+    /// It has carried a request before.
+    is_reused: bool,
+}
