--- a/tests/stubs/overloaded.rs
+++ b/tests/stubs/overloaded.rs
@@ -26,10 +26,11 @@
     refused: AtomicUsize,
 }
 
-/// The latest version, and the answer with which it becomes known.
+/// The latest version: the whole list, and the changes since version 1.
 struct Listed {
     version: u64,
-    body: String,
+    whole: String,
+    changes: String,
 }
 
 /// Admitted calls that are not worked off yet.
@@ -52,14 +53,15 @@
 }
 
 impl OverloadedDiscovery {
-    /// Admits that many calls at once, and as many in each second; version 1 is what sidecars know.
-    pub fn start(admitted: usize) -> Self {
+    /// Admits that many calls at once, and as many in each second. Version 1 is this whole list.
+    pub fn start(admitted: usize, whole: String) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let state = Arc::new(State {
             listed: Mutex::new(Listed {
                 version: 1,
-                body: String::new(),
+                whole,
+                changes: String::new(),
             }),
             published: Condvar::new(),
             load: Mutex::new(Load {
@@ -80,9 +82,14 @@
         Self { address, state }
     }
 
-    /// Publishes an answer with which `version` becomes the latest.
-    pub fn publish(&self, version: u64, body: String) {
-        *self.state.listed.lock().expect("no stub panics") = Listed { version, body };
+    /// Publishes a version: the whole list, and the changes since version 1.
+    pub fn publish(&self, version: u64, whole: String, changes: String) {
+        let listed = Listed {
+            version,
+            whole,
+            changes,
+        };
+        *self.state.listed.lock().expect("no stub panics") = listed;
         self.state.published.notify_all();
     }
 
@@ -117,12 +124,15 @@
         }
     }
 
-    /// The changes after a version, once there are any, or none at that time.
+    /// The changes after a version, once there are any, or none at that time; after 0, the whole list.
     fn changes(&self, after: u64, until: Instant) -> String {
         let mut listed = self.listed.lock().expect("no stub panics");
         loop {
+            if after == 0 {
+                return listed.whole.clone();
+            }
             if listed.version > after {
-                return listed.body.clone();
+                return listed.changes.clone();
             }
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
