--- a/src/bin/sidecar/client.rs
+++ b/src/bin/sidecar/client.rs
@@ -23,16 +23,14 @@
     is_answering: Cell<bool>,
     /// The body of the request that has begun is still arriving.
     is_awaiting_body: Cell<bool>,
-    /// Part of an answer has been handed to the socket, and not all of it was taken.
-    has_unwritten_answer: Cell<bool>,
+    /// Since when the socket has been given answers that it has not taken completely.
+    unwritten_since: Cell<Option<Instant>>,
     /// No more requests are read.
     is_closing: Cell<bool>,
     /// When it was accepted, or the first bytes of the latest request arrived.
     request_began: Cell<Instant>,
     /// When it was accepted, or bytes last arrived, or the last answer was given.
     last_active: Cell<Instant>,
-    /// When the socket last took bytes of an answer.
-    last_write: Cell<Instant>,
     /// Notified when the connection may have become one that can be closed for another.
     changed: Rc<Notify>,
 }
@@ -50,11 +48,10 @@
             has_partial_request: Cell::default(),
             is_answering: Cell::default(),
             is_awaiting_body: Cell::default(),
-            has_unwritten_answer: Cell::default(),
+            unwritten_since: Cell::default(),
             is_closing: Cell::default(),
             request_began: Cell::new(now),
             last_active: Cell::new(now),
-            last_write: Cell::new(now),
             changed,
         }
     }
@@ -68,8 +65,7 @@
     pub fn occupancy(&self) -> Occupancy {
         if self.is_closing.get() {
             Occupancy::Closing
-        } else if self.has_unwritten_answer.get() {
-            let since = self.last_write.get();
+        } else if let Some(since) = self.unwritten_since.get() {
             Occupancy::Unread { since }
         } else if self.is_answering.get() && !self.is_awaiting_body.get() {
             Occupancy::Answering
@@ -137,19 +133,14 @@
 
     /// Records that the socket is about to be given bytes of an answer.
     pub fn note_write_start(&self) {
-        if !self.has_unwritten_answer.replace(true) {
-            self.last_write.set(Instant::now());
+        if self.unwritten_since.get().is_none() {
+            self.unwritten_since.set(Some(Instant::now()));
         }
     }
 
-    /// Records that the socket has taken bytes of an answer.
-    pub fn note_bytes_written(&self) {
-        self.last_write.set(Instant::now());
-    }
-
     /// Records that the socket has taken all that was to be written.
     pub fn note_flushed(&self) {
-        if self.has_unwritten_answer.replace(false) {
+        if self.unwritten_since.take().is_some() {
             self.last_active.set(Instant::now());
             self.changed.notify_one();
         }
--- a/src/bin/sidecar/client_socket.rs
+++ b/src/bin/sidecar/client_socket.rs
@@ -55,10 +55,7 @@
             ready!(self.poll_writable(cx))?;
             match write(self.stream()) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                written => {
-                    self.client.note_bytes_written();
-                    return Poll::Ready(written);
-                }
+                written => return Poll::Ready(written),
             }
         }
     }
--- a/src/bin/sidecar/eviction.rs
+++ b/src/bin/sidecar/eviction.rs
@@ -12,7 +12,7 @@
 pub const STALL_TIME: Duration = Duration::from_millis(20);
 /// An incomplete request counts as stopped after this long, however regularly bytes arrive.
 pub const MAX_ARRIVAL_TIME: Duration = Duration::from_millis(100);
-/// An answer counts as abandoned after this long in which its client has read nothing.
+/// An answer counts as left unread if its client, on this machine, has not taken it after this long.
 pub const UNREAD_TIME: Duration = Duration::from_millis(500);
 
 /// What a client connection is occupied with.
@@ -34,9 +34,9 @@
     },
     /// A request is being answered.
     Answering,
-    /// An answer is partly written, and the socket takes no more.
+    /// Answers are to be written that the socket has not taken completely.
     Unread {
-        /// When the socket last took bytes.
+        /// Since when.
         since: Instant,
     },
 }
@@ -89,17 +89,16 @@
 
 /// Chooses among all connections of a sidecar that has no place for another one.
 ///
-/// Idle connections are closed before incomplete ones that may still be arriving if they hold more
-/// than half of the places: otherwise new clients could use only what they leave.
+/// Idle and unread connections are closed before incomplete ones that may still be arriving if they
+/// are more: otherwise new clients could use only what they leave.
 pub fn choose<Id: Copy + Ord>(
     connections: impl Iterator<Item = (Id, Occupancy)>,
     now: Instant,
 ) -> Choice<Id> {
     let mut first: Option<(Rank, Instant, Id)> = None;
     let mut not_before: Option<Instant> = None;
-    let (mut count, mut idle, mut arriving) = (0_usize, 0_usize, 0_usize);
+    let (mut settled, mut arriving) = (0_usize, 0_usize);
     for (id, occupancy) in connections {
-        count += 1;
         let (rank, since, evictable_at) = match occupancy {
             Occupancy::Answering => continue,
             Occupancy::Closing => (Rank::Closing, now, now),
@@ -107,23 +106,21 @@
                 let stopped_at = (last_bytes + STALL_TIME).min(began + MAX_ARRIVAL_TIME);
                 (Rank::Stopped, last_bytes, stopped_at)
             }
-            Occupancy::Idle { since } => {
-                idle += 1;
-                (Rank::Idle, since, now)
-            }
+            Occupancy::Idle { since } => (Rank::Idle, since, now),
             Occupancy::Unread { since } => (Rank::Unread, since, since + UNREAD_TIME),
         };
         if evictable_at > now {
             arriving += usize::from(rank == Rank::Stopped);
             not_before = Some(not_before.map_or(evictable_at, |earlier| earlier.min(evictable_at)));
-        } else if first.is_none_or(|best| (rank, since, id) < best) {
+            continue;
+        }
+        settled += usize::from(matches!(rank, Rank::Idle | Rank::Unread));
+        if first.is_none_or(|best| (rank, since, id) < best) {
             first = Some((rank, since, id));
         }
     }
     match (first, not_before) {
-        (Some((Rank::Idle | Rank::Unread, ..)), Some(time))
-            if arriving > 0 && idle <= count / 2 =>
-        {
+        (Some((Rank::Idle | Rank::Unread, ..)), Some(time)) if arriving >= settled => {
             Choice::NotBefore(time)
         }
         (Some((.., id)), _) => Choice::Evict(id),
--- a/src/bin/sidecar/eviction/tests.rs
+++ b/src/bin/sidecar/eviction/tests.rs
@@ -83,8 +83,10 @@
     assert_eq!(chosen(&[trickling(after)], after), Choice::Evict(0));
 }
 
+// Otherwise peers that connect and send nothing would hold up new clients, however few places idle
+// connections and those that wait for answers leave.
 #[test]
-fn idle_connections_give_way_to_new_ones_only_while_they_hold_most_places() {
+fn idle_connections_give_way_to_new_ones_while_they_are_more() {
     let now = Instant::now() + Duration::from_secs(60);
     let idle = Occupancy::Idle {
         since: now - MILLISECOND,
@@ -92,6 +94,14 @@
     let (few, many) = ([idle, silent(now)], [idle, idle, silent(now)]);
     assert_eq!(chosen(&few, now), Choice::NotBefore(now + STALL_TIME));
     assert_eq!(chosen(&many, now), Choice::Evict(0));
+    let mostly_answering = [
+        Occupancy::Answering,
+        Occupancy::Answering,
+        idle,
+        idle,
+        silent(now),
+    ];
+    assert_eq!(chosen(&mostly_answering, now), Choice::Evict(2));
 }
 
 #[test]
