--- a/tests/sidecar/repeats.rs
+++ b/tests/sidecar/repeats.rs
@@ -4,7 +4,6 @@
 use crate::ok;
 use crate::stubs::*;
 use std::io::Write;
-use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -77,21 +76,6 @@
     assert_eq!(read_message(&mut client).expect("an answer").status(), 503);
 }
 
-/// A listener whose connections buffer only part of a long request before it is read.
-fn listen_with_small_buffers() -> TcpListener {
-    let socket =
-        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(2048).expect("a small buffer");
-    // The sender's buffer depends on the receiver's segment size.
-    socket.set_tcp_mss(536).expect("small segments");
-    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    socket
-        .bind(&any.into())
-        .and_then(|()| socket.listen(16))
-        .expect("a free port");
-    TcpListener::from(socket)
-}
-
 // Only the group in which a request may have been executed knows its key: the endpoint's group when
 // it got the request, not the one that a later list assigns.
 #[test]
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -110,6 +110,20 @@
     address
 }
 
+/// A listener whose connections buffer only part of a long request before it is read.
+pub fn listen_with_small_buffers() -> std::net::TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(2048).expect("a small buffer");
+    // The sender's buffer depends on the receiver's segment size.
+    socket.set_tcp_mss(536).expect("small segments");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket
+        .bind(&any.into())
+        .and_then(|()| socket.listen(16))
+        .expect("a free port");
+    std::net::TcpListener::from(socket)
+}
+
 /// Whether a process here is connecting to that port (state 2 of the system's table: SYN sent).
 pub fn is_being_dialled(address: SocketAddr) -> bool {
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
--- a/tests/stubs/sidecar.rs
+++ b/tests/stubs/sidecar.rs
@@ -192,6 +192,16 @@
         held.expect("the process is there").count()
     }
 
+    /// The most memory that the process has held so far, in KiB.
+    pub fn peak_memory_kb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = status.expect("the process is there");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let peak = peak.expect("the process has not ended");
+        let number = peak.trim().strip_suffix(" kB").map(str::parse);
+        number.expect("a number").expect("a number")
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
