Write bodies to endpoints from their own buffer

Cause: without vectored writes the HTTP library copies each body behind its head and keeps that buffer, 64 KiB and more, for as long as the connection lives, also while it is idle. Change: the metered stream writes several buffers at once and counts them in order.

--- a/src/bin/sidecar/connection.rs
+++ b/src/bin/sidecar/connection.rs
@@ -33,6 +33,19 @@
     progress: Rc<RefCell<WriteProgress>>,
 }
 
+impl MeteredStream {
+    /// Records that the first `length` bytes of these buffers were written.
+    fn record_written(&self, bufs: &[io::IoSlice<'_>], length: usize) {
+        let progress = self.progress.borrow();
+        let mut remaining = length;
+        for buf in bufs {
+            let written = remaining.min(buf.len());
+            progress.record_written(&buf[..written]);
+            remaining -= written;
+        }
+    }
+}
+
 impl AsyncRead for MeteredStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -59,12 +72,20 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[io::IoSlice::new(buf)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
+            match self.stream.try_write_vectored(bufs) {
                 Ok(length) => {
-                    self.progress.borrow().record_written(&buf[..length]);
+                    self.record_written(bufs, length);
                     return Poll::Ready(Ok(length));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -73,6 +94,11 @@
         }
     }
 
+    /// Otherwise the HTTP library copies each body behind its head, and keeps that buffer.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/src/bin/sidecar/write_progress.rs
+++ b/src/bin/sidecar/write_progress.rs
@@ -27,6 +27,9 @@
 
     /// Records written bytes.
     pub fn record_written(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
         let state = &self.0;
         state.has_started.set(true);
         let mut bytes = bytes.iter();
