Release the buffers of connections to endpoints while they are idle

Cause: an idle connection kept the HTTP library's read and write buffers, 16 KiB at least and as much as its largest message, and the field maps of the last one. With 440 connections that is 7 MB before anything is sent. Change: after a response only the socket is kept; the library's state is made anew when the connection is taken for the next request, without I/O. Bytes read behind a response still end the connection. The pool's and the sidecar's tests pass.

--- a/src/bin/sidecar/connection.rs
+++ b/src/bin/sidecar/connection.rs
@@ -114,10 +114,16 @@
     }
 }
 
-/// An HTTP/1.1 connection for one request at a time.
-pub struct Connection {
+/// The state of the HTTP library for one connection, with its buffers.
+struct HttpState {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>,
+}
+
+/// An HTTP/1.1 connection for one request at a time.
+pub struct Connection {
+    /// `None` while it is idle: the buffers are large, and keep the size of the largest message.
+    http: Option<HttpState>,
     ended: bool,
     stream: Rc<TcpStream>,
     progress: Rc<RefCell<WriteProgress>>,
@@ -129,26 +135,14 @@
     /// Connects; the caller limits the time. Long heads of responses take their memory of that
     /// share.
     pub async fn open(address: SocketAddr, memory: MemoryShare) -> io::Result<Self> {
-        let stream = Rc::new(TcpStream::connect(address).await?);
+        let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let progress = Rc::new(RefCell::new(WriteProgress::default()));
-        let head_allowance = Rc::new(RefCell::new(HeadAllowance::new(memory, MAX_HEAD_BYTES)));
-        let metered = MeteredStream {
-            stream: Rc::clone(&stream),
-            progress: Rc::clone(&progress),
-            head_allowance: Rc::clone(&head_allowance),
-        };
-        let handshake = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(metered));
-        let (sender, driver) = handshake.await.map_err(io::Error::other)?;
         Ok(Self {
-            sender,
-            driver,
+            http: None,
             ended: false,
-            stream,
-            progress,
-            head_allowance,
+            stream: Rc::new(stream),
+            progress: Rc::default(),
+            head_allowance: Rc::new(RefCell::new(HeadAllowance::new(memory, MAX_HEAD_BYTES))),
             created_at: SystemTime::now(),
         })
     }
@@ -167,6 +161,42 @@
         !self.ended && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Makes the connection ready to write a request at once.
+    pub async fn prepare(&mut self) {
+        self.ended = self.ended || self.begin_http().await.is_err();
+        self.poll_driver_once().await;
+    }
+
+    /// Creates the HTTP library's state, which writes and reads nothing yet.
+    async fn begin_http(&mut self) -> hyper::Result<()> {
+        if self.http.is_some() {
+            return Ok(());
+        }
+        let metered = MeteredStream {
+            stream: Rc::clone(&self.stream),
+            progress: Rc::clone(&self.progress),
+            head_allowance: Rc::clone(&self.head_allowance),
+        };
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(metered));
+        let (sender, driver) = handshake.await?;
+        self.http = Some(HttpState { sender, driver });
+        Ok(())
+    }
+
+    /// Releases the buffers after a response. Returns whether the connection can be used again: it
+    /// can't if the peer wants it closed or has sent more than the response.
+    pub async fn release(&mut self) -> bool {
+        self.poll_driver_once().await;
+        if let Some(http) = self.http.take() {
+            // What was read behind the response would be lost with the buffer.
+            let read_buf = http.driver.into_parts().read_buf;
+            self.ended = self.ended || !read_buf.is_empty();
+        }
+        self.is_usable()
+    }
+
     /// Sends a request and waits for the response head. Bytes that the peer sends before the
     /// request is completely written can't be a response to it: the connection is then not used
     /// again, and the rest of the request is not written.
@@ -177,12 +207,17 @@
     ) -> Result<Response<Incoming>, &'static str> {
         *self.progress.borrow_mut() = progress.clone();
         self.head_allowance.borrow_mut().expect_head();
+        if self.begin_http().await.is_err() {
+            self.ended = true;
+        }
         let Self {
-            sender,
-            driver,
+            http: Some(HttpState { sender, driver }),
             ended,
             ..
-        } = self;
+        } = self
+        else {
+            return Err("connection lost");
+        };
         let answer = async {
             sender.ready().await?;
             sender.send_request(request).await
@@ -197,9 +232,13 @@
 
     /// Polls the driver once, so that it notices whether the last response asked for the connection
     /// to be closed.
-    pub async fn poll_driver_once(&mut self) {
+    async fn poll_driver_once(&mut self) {
+        let Some(http) = &mut self.http else {
+            return;
+        };
+        let ended = &mut self.ended;
         poll_fn(|cx| {
-            self.ended = self.ended || Pin::new(&mut self.driver).poll(cx).is_ready();
+            *ended = *ended || Pin::new(&mut http.driver).poll(cx).is_ready();
             Poll::Ready(())
         })
         .await;
@@ -207,7 +246,8 @@
 
     /// Waits for a future that this connection must drive; `None` if the connection ends first.
     pub async fn drive<T>(&mut self, future: impl Future<Output = T>) -> Option<T> {
-        drive(&mut self.driver, &mut self.ended, future).await
+        let http = self.http.as_mut()?;
+        drive(&mut http.driver, &mut self.ended, future).await
     }
 }
 
--- a/src/bin/sidecar/pool.rs
+++ b/src/bin/sidecar/pool.rs
@@ -178,11 +178,11 @@
         mut connection: Connection,
         permit: OwnedSemaphorePermit,
     ) {
-        connection.poll_driver_once().await;
+        let is_usable = connection.release().await;
         let is_same_address = endpoint
             .target()
             .is_some_and(|now| now.address == target.address);
-        if is_same_address && endpoint.is_current(&connection) && connection.is_usable() {
+        if is_usable && is_same_address && endpoint.is_current(&connection) {
             endpoint.idle.borrow_mut().push(IdleConnection {
                 connection,
                 permit,
--- a/src/bin/sidecar/upstream.rs
+++ b/src/bin/sidecar/upstream.rs
@@ -130,7 +130,8 @@
     /// Takes an idle connection to the endpoint, or else dials a new one; the outcome of the attempt
     /// if there is none.
     async fn connect(&self, to: AttemptTarget<'_>) -> Result<ReadyConnection, Outcome> {
-        if let Some((connection, permit)) = self.pool.take_idle(to.endpoint).await {
+        if let Some((mut connection, permit)) = self.pool.take_idle(to.endpoint).await {
+            connection.prepare().await;
             return Ok(ReadyConnection {
                 connection,
                 permit,
@@ -141,7 +142,7 @@
             Ok((mut connection, permit)) => {
                 // Makes the connection ready to write, and then handles what has happened in the
                 // meantime, such as a client's disconnect or a new list.
-                connection.poll_driver_once().await;
+                connection.prepare().await;
                 yield_now().await;
                 Ok(ReadyConnection {
                     connection,
