Forget the timers of ended requests before their deadlines

Cause: each request leaves a wake-up in the module until its deadline, which its client chooses, up to an hour. A client that sends at full speed makes them accumulate, some 50 bytes each; rejected requests too. The sidecar also kept every timer that the module replaced by an earlier one: one for each request whose deadline comes before the last one's. Change: wake-ups of ended requests are removed once there are more than 16,384 of them (below that nothing changes, so that decisions stay equal to the bit); the sidecar keeps the one timer that the module set last, which sets the next as it fires. The class is state of a request that outlives it.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -162,6 +162,9 @@
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
         self.dispatch_queued(now, out);
+        let requests = &self.requests;
+        self.timers
+            .forget_ended(requests.len(), |id| requests.contains_key(&id));
         self.timers.arm(now, out);
     }
 }
--- a/src/balancer/timers.rs
+++ b/src/balancer/timers.rs
@@ -6,7 +6,7 @@
 use std::collections::BinaryHeap;
 
 /// Reason to wake up. Of two at the same instant the variant listed first is handled first.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Wake {
     /// The deadline of the request has passed.
     Deadline(RequestId),
@@ -18,6 +18,22 @@
     Poll,
 }
 
+impl Wake {
+    /// The request that it is for, if it is for one.
+    pub fn request(self) -> Option<RequestId> {
+        match self {
+            Self::Deadline(id) | Self::Retry(id) | Self::QueueTimeout(id) => Some(id),
+            Self::Poll => None,
+        }
+    }
+}
+
+/// Wake-ups that a request may have at once, one of each kind.
+const MAX_WAKES_PER_REQUEST: usize = 3;
+/// Wake-ups of ended requests that are kept until they are due. Removing them sooner costs a pass
+/// over all of them.
+const MAX_ENDED_WAKES: usize = 16_384;
+
 /// Pending wake-ups, the earliest first.
 #[derive(Default)]
 pub struct Timers {
@@ -32,6 +48,14 @@
         self.wakes.push(Reverse((when, wake)));
     }
 
+    /// Removes the wake-ups of ended requests once there are many: their deadlines may be far off.
+    pub fn forget_ended(&mut self, open_requests: usize, is_open: impl Fn(RequestId) -> bool) {
+        if self.wakes.len() > MAX_WAKES_PER_REQUEST * open_requests + MAX_ENDED_WAKES {
+            self.wakes
+                .retain(|Reverse((_, wake))| wake.request().is_none_or(&is_open));
+        }
+    }
+
     /// Sets the caller's timer if the next wake-up is earlier than the one for which it was last
     /// set.
     pub fn arm(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -58,3 +82,6 @@
         self.wakes.pop().map(|wake| wake.0.1)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/sidecar/timers.rs
+++ b/src/bin/sidecar/timers.rs
@@ -1,42 +1,30 @@
-//! The timers set by the decision module.
+//! The timer set by the decision module.
 
 use crate::clock::Clock;
 use load_balancer::Micros;
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use tokio::time::{Instant, sleep_until};
 
-/// Timers by due time.
+/// The timer that the module has set last. It sets another one only to be woken earlier than by the
+/// one before, and anew after each that fires, so earlier ones need not be kept.
 pub struct Timers {
     clock: Clock,
-    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    next: Option<(Micros, u64)>,
 }
 
 impl Timers {
-    /// Starts without timers.
+    /// Starts without a timer.
     pub fn new(clock: Clock) -> Self {
-        Self {
-            clock,
-            timers: BinaryHeap::new(),
-        }
+        Self { clock, next: None }
     }
 
-    /// Sets a timer.
+    /// Sets the timer in place of the one set before.
     pub fn set(&mut self, after: Micros, token: u64) {
-        self.timers
-            .push(Reverse((self.clock.now().saturating_add(after), token)));
-    }
-
-    /// When the next timer is due.
-    fn next_due(&self) -> Option<Instant> {
-        self.timers
-            .peek()
-            .map(|Reverse((at, _))| self.clock.instant(*at))
+        self.next = Some((self.clock.now().saturating_add(after), token));
     }
 
-    /// Waits until the next timer is due, forever if there is none.
+    /// Waits until the timer is due, forever if there is none.
     pub fn wait(&self) -> impl Future<Output = ()> + use<> {
-        let next = self.next_due();
+        let next: Option<Instant> = self.next.map(|(due, _)| self.clock.instant(due));
         async move {
             match next {
                 Some(at) => sleep_until(at).await,
@@ -45,9 +33,9 @@
         }
     }
 
-    /// Removes and returns a timer that is due at `now`.
+    /// Removes the timer if it is due at `now`, and returns its token.
     pub fn take_due(&mut self, now: Micros) -> Option<u64> {
-        self.timers.peek().filter(|Reverse((at, _))| *at <= now)?;
-        self.timers.pop().map(|Reverse((_, token))| token)
+        let due = self.next.take_if(|(at, _)| *at <= now);
+        due.map(|(_, token)| token)
     }
 }
