Test the timers of ended requests through the module's interface, and count them in the metrics

Change: the test goes through Balancer and its summary, which counts pending timers; so does `sidecar_pending_timers`.

--- a/src/api.rs
+++ b/src/api.rs
@@ -78,6 +78,8 @@
     pub ejected: usize,
     /// Requests that wait for an endpoint with capacity.
     pub queued: usize,
+    /// Pending timers, those of ended requests included.
+    pub timers: usize,
     /// Requests given up since the start: shed, waiting, failing.
     pub given_up: [u64; 3],
 }
--- a/src/balancer/summary.rs
+++ b/src/balancer/summary.rs
@@ -15,6 +15,7 @@
             circuits_open: count(|endpoint| !endpoint.circuit.is_closed()),
             ejected: count(|endpoint| endpoint.ejection.is_some()),
             queued: self.queue.len(),
+            timers: self.timers.len(),
             given_up: self.log.given_up_since_start(),
         }
     }
--- a/src/balancer/timers.rs
+++ b/src/balancer/timers.rs
@@ -48,6 +48,11 @@
         self.wakes.push(Reverse((when, wake)));
     }
 
+    /// Returns the number of pending wake-ups.
+    pub fn len(&self) -> usize {
+        self.wakes.len()
+    }
+
     /// Removes the wake-ups of ended requests once there are many: their deadlines may be far off.
     pub fn forget_ended(&mut self, open_requests: usize, is_open: impl Fn(RequestId) -> bool) {
         if self.wakes.len() > MAX_WAKES_PER_REQUEST * open_requests + MAX_ENDED_WAKES {
@@ -82,6 +87,3 @@
         self.wakes.pop().map(|wake| wake.0.1)
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/bin/sidecar/observer.rs
+++ b/src/bin/sidecar/observer.rs
@@ -127,6 +127,7 @@
         for (gauge, value) in [
             (&metrics.circuits_open, summary.circuits_open),
             (&metrics.queued, summary.queued),
+            (&metrics.timers, summary.timers),
             (&metrics.open, engine.open),
             (&metrics.attempts_open, engine.attempts),
             (&metrics.endpoints_ready, summary.ready),
--- a/src/bin/sidecar/observer/series.rs
+++ b/src/bin/sidecar/observer/series.rs
@@ -40,6 +40,7 @@
     pub refused: [Counter; Refusal::LABELS.len()],
     pub circuits_open: Gauge,
     pub queued: Gauge,
+    pub timers: Gauge,
     pub open: Gauge,
     pub attempts_open: Gauge,
     pub endpoints_ready: Gauge,
@@ -125,6 +126,10 @@
                 "sidecar_queued_requests",
                 "Requests that wait for an endpoint with room.",
             ),
+            timers: gauge(
+                "sidecar_pending_timers",
+                "Timers of the decision module, those of ended requests included.",
+            ),
             open: gauge(
                 "sidecar_open_requests",
                 "Requests without their final answer.",
--- a/tests/failures/ends.rs
+++ b/tests/failures/ends.rs
@@ -161,3 +161,17 @@
     );
     assert!(harness.finish(id, 0, Outcome::Cancelled).is_empty());
 }
+
+// A client may send any number of requests with a far deadline, each of which ends at once.
+#[test]
+fn timers_of_ended_requests_do_not_accumulate() {
+    const REQUESTS: usize = 100_000;
+    const HOUR: Micros = 3_600_000 * MS;
+    let mut harness = Harness::new(default_settings(), 2, 1);
+    for _ in 0..REQUESTS {
+        let (id, _) = harness.request_with(IDEMPOTENT, HOUR, None, None);
+        harness.handle(Event::Abandoned(id));
+    }
+    let timers = harness.balancer.summary().timers;
+    assert!(timers < REQUESTS / 4, "{timers} timers");
+}
