Look for a client that may have left only once a next request has arrived

Cause, in: each request in hand woke its connection every 20 ms to look at what is unread, with nothing behind it too. Change: the look begins once the HTTP library holds bytes of the next request, which the same task reads. The tests on clients that leave, repeats and stalled peers pass (14), as do those of one client (3).

--- a/src/bin/sidecar/unread.rs
+++ b/src/bin/sidecar/unread.rs
@@ -6,7 +6,9 @@
 
 use crate::client::Client;
 use crate::messages::OutgoingRequest;
+use std::future::poll_fn;
 use std::mem::MaybeUninit;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -26,8 +28,8 @@
 pub async fn wait_until_left(client: &Client, outgoing: &OutgoingRequest) {
     let check = async {
         loop {
+            next_request_arrived(client).await;
             sleep(CHECK_INTERVAL).await;
-            // The HTTP library reads until it holds bytes of the next request.
             let may_have_left = client.has_partial_request() && may_have_left(client);
             outgoing.client_may_have_left.set(may_have_left);
         }
@@ -38,3 +40,13 @@
         () = check => {}
     }
 }
+
+/// Waits until the HTTP library holds bytes of the next request, up to which it reads while one is
+/// being answered. It reads in the task that polls this, so that no other wake-up is needed.
+async fn next_request_arrived(client: &Client) {
+    poll_fn(|_| match client.has_partial_request() {
+        true => Poll::Ready(()),
+        false => Poll::Pending,
+    })
+    .await;
+}
