Review case 6: an answer that comes twice is taken for another request's

Cause: pool.rs uses a connection again 25 ms after an answer. The second one is written within 10 ms, but a socket without TCP_NODELAY holds it back until the first is acknowledged, which the next request's write does. No change outside review/.

--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -183,6 +183,9 @@
     Bytes(Duration, Vec<u8>),
     /// Resets the connection after that time.
     Reset(Duration),
+    /// Answers by itself, given the connection, the request and its answer; returns whether the
+    /// connection stays.
+    Script(Box<dyn FnOnce(&mut Conn, &Message, &[u8]) -> bool + Send>),
 }
 
 /// One request that reached an endpoint whole.
@@ -241,7 +244,9 @@
                 let behaviour = Arc::clone(&behaviour);
                 thread::spawn(move || {
                     this.connections.fetch_add(1, Ordering::SeqCst);
-                    this.serve(Conn::new(stream), &record, &runs, &*behaviour);
+                    // As accepted, without TCP_NODELAY: small writes may be held back by the system.
+                    let conn = Conn { stream, buffer: Vec::new() };
+                    this.serve(conn, &record, &runs, &*behaviour);
                     this.connections.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -274,6 +279,13 @@
                     reset(&conn.stream);
                     return;
                 }
+                Deed::Script(script) => {
+                    let text = answer(&request);
+                    if script(&mut conn, &request, &text) {
+                        continue;
+                    }
+                    return;
+                }
                 Deed::Hang => {
                     // Silent until the sidecar closes the connection or the trouble is over.
                     while self.hangs.load(Ordering::SeqCst) {
--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -4,6 +4,7 @@
 mod kit;
 mod pipeline;
 mod stop;
+mod twice;
 mod resting;
 mod crowd;
 
@@ -16,6 +17,7 @@
     match case.as_str() {
         "pipeline" => pipeline::play(&folder),
         "stop" => stop::play(&folder),
+        "twice" => twice::play(&folder),
         "resting" => resting::play(&folder),
         "crowd" => crowd::play(&folder),
         _ => kit::cannot_run("no such case"),
