--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -196,6 +196,7 @@
     pub at: Instant,
     pub time_left_us: u64,
     pub key: Option<String>,
+    pub class: String,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
@@ -266,6 +267,7 @@
                 at,
                 time_left_us: left,
                 key: request.header("idempotency-key").map(str::to_owned),
+                class: request.header("x-service-class").unwrap_or("").to_owned(),
             });
             let answer = |request: &Message| {
                 let body = format!("{} {}", request.id(), self.name);
--- a/review/standins-2/twice.rs
+++ b/review/standins-2/twice.rs
@@ -1,4 +1,4 @@
-//! Some answers are sent twice, the second time some milliseconds later.
+//! One endpoint of six writes some of its answers twice, the second time some milliseconds later.
 
 use crate::kit::*;
 use std::collections::HashMap;
@@ -7,10 +7,12 @@
 use std::thread;
 use std::time::Instant;
 
-const CLIENTS: usize = 8;
-const DAY_MS: u64 = 20_000;
-/// One answer of so many is sent twice.
-const TWICE_ONE_IN: u64 = 16;
+const CLIENTS: usize = 12;
+const DAY_MS: u64 = 40_000;
+/// One request of so many is turned away by the first endpoint: 503 with `X-Unprocessed: 1`.
+const REJECTED_ONE_IN: u64 = 3;
+/// One answer of so many of the first endpoint is written twice.
+const TWICE_ONE_IN: u64 = 2;
 /// How much later the second one is written, in milliseconds.
 const LATER: (u64, u64) = (2, 11);
 
@@ -21,22 +23,32 @@
     let rng = Arc::new(Mutex::new(Rng(place.seed ^ 0x5eed)));
     // Which request got which time of work, and which answers were written twice.
     let twice: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
+    // How often a request was turned away.
+    let rejected: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
     let endpoints: Vec<Endpoint> = (0..6)
         .map(|n| {
             let (rng, twice, trouble, record) = (Arc::clone(&rng), Arc::clone(&twice), place.trouble, Arc::clone(&record));
-            Endpoint::start(&format!("s-{n}"), &record.clone(), &runs, move |_| {
-                let (work, again) = {
+            let rejected = Arc::clone(&rejected);
+            Endpoint::start(&format!("s-{n}"), &record.clone(), &runs, move |request| {
+                let (work, again, rejects) = {
                     let mut rng = rng.lock().unwrap();
-                    let again = rng.range(0, TWICE_ONE_IN) == 0;
-                    (rng.range(30, 90), again.then(|| rng.range(LATER.0, LATER.1)))
+                    let again = n == 0 && rng.range(0, TWICE_ONE_IN) == 0;
+                    let rejects = n == 0 && rng.range(0, REJECTED_ONE_IN) == 0;
+                    (if rejects { 1 } else { rng.range(30, 90) }, again.then(|| rng.range(LATER.0, LATER.1)), rejects)
                 };
-                let Some(later) = again.filter(|_| trouble) else { return Deed::Serve(ms(work)) };
                 let (twice, record) = (Arc::clone(&twice), Arc::clone(&record));
+                let again = again.filter(|_| trouble);
+                if rejects {
+                    *rejected.lock().unwrap().entry(request.id().to_owned()).or_default() += 1;
+                    record.line(&format!("rejected {}", request.id()));
+                }
                 Deed::Script(Box::new(move |conn, request, answer| {
+                    let answer = if rejects { &b"HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"[..] } else { answer };
                     thread::sleep(ms(work));
                     if conn.stream.write_all(answer).is_err() {
                         return false;
                     }
+                    let Some(later) = again else { return true };
                     thread::sleep(ms(later));
                     record.line(&format!("twice    {} {later} ms later", request.id()));
                     twice.lock().unwrap().insert(request.id().to_owned(), later);
@@ -105,7 +117,18 @@
         broken.lock().unwrap().push("the sidecar has ended".to_owned());
     }
     drop(sidecar);
-    let broken = broken.lock().unwrap();
+    let mut broken = broken.lock().unwrap();
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for run in runs.lock().unwrap().iter().filter(|run| run.class == "close") {
+        *counts.entry(run.id.clone()).or_default() += 1;
+    }
+    let rejected = rejected.lock().unwrap();
+    for (id, arrived) in counts {
+        let ran = arrived - rejected.get(&id).copied().unwrap_or(0);
+        if ran > 1 {
+            broken.push(format!("duplicate: {id} (close) ran {ran} times"));
+        }
+    }
     let twice = twice.lock().unwrap();
     let longest = twice.values().max().copied().unwrap_or(0);
     place.end(&broken, &format!("{}; {} answers were written twice, the second one at most {longest} ms later", summary(&fates.lock().unwrap()), twice.len()));
