--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -592,10 +592,32 @@
             }
             thread::sleep(ms(10));
         }
+        // Another case that runs at the same time may have got the same free port.
+        if !sidecar.listens() {
+            cannot_run("another program answers at the sidecar's address");
+        }
         place.record.line(&format!("sidecar  {name} is up at {address}"));
         sidecar
     }
 
+    /// Whether its own process holds the socket that listens at its address.
+    fn listens(&self) -> bool {
+        let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let port = format!(":{:04X}", self.address.port());
+        let inodes: Vec<String> = sockets
+            .lines()
+            .map(|line| line.split_whitespace().collect::<Vec<_>>())
+            .filter(|fields| fields.len() > 9 && fields[1].ends_with(&port) && fields[3] == "0A")
+            .map(|fields| format!("socket:[{}]", fields[9]))
+            .collect();
+        let held = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        held.into_iter()
+            .flatten()
+            .flatten()
+            .filter_map(|entry| std::fs::read_link(entry.path()).ok())
+            .any(|link| inodes.iter().any(|inode| link.as_os_str() == inode.as_str()))
+    }
+
     fn is_up(&self) -> bool {
         let Some(mut conn) = Conn::connect(self.address) else { return false };
         conn.send(b"GET /up HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n")
