Tell new client connections from those whose request is incomplete

Need: the log line and the counter of connections that were closed for others called both "incomplete".

Change: the state "new" beside "incomplete" in the log line and in sidecar_client_connections_evicted_total. Which connection is closed has not changed. The test of the log line opens connections that send nothing, and now expects "new"; the test of requests that may still be arriving plays both states.

--- a/src/bin/sidecar/client.rs
+++ b/src/bin/sidecar/client.rs
@@ -86,10 +86,10 @@
             Occupancy::Unread { since }
         } else if self.is_answering.get() && !self.is_awaiting_body.get() {
             Occupancy::Answering
-        } else if self.is_answering.get()
-            || self.has_partial_request.get()
-            || self.received_nothing.get()
-        {
+        } else if self.received_nothing.get() {
+            let since = self.request_began.get();
+            Occupancy::New { since }
+        } else if self.is_answering.get() || self.has_partial_request.get() {
             Occupancy::Incomplete {
                 began: self.request_began.get(),
                 last_bytes: self.last_active.get(),
--- a/src/bin/sidecar/eviction.rs
+++ b/src/bin/sidecar/eviction.rs
@@ -20,9 +20,15 @@
 pub enum Occupancy {
     /// Its last answer is written, and it is being closed.
     Closing,
-    /// It is new and nothing has arrived, or part of a request has.
+    /// Nothing has arrived on it yet.
+    New {
+        /// When it was accepted.
+        since: Instant,
+    },
+    /// Part of a request has arrived.
     Incomplete {
-        /// When the client connected, or sent the first bytes of this request.
+        /// When the client connected, or sent the first bytes of this request if it has sent others
+        /// before.
         began: Instant,
         /// When bytes last arrived.
         last_bytes: Instant,
@@ -43,7 +49,14 @@
 
 impl Occupancy {
     /// The names in logs and metrics.
-    pub const LABELS: [&str; 5] = ["closing", "incomplete", "idle", "answering", "unread"];
+    pub const LABELS: [&str; 6] = [
+        "closing",
+        "incomplete",
+        "idle",
+        "answering",
+        "unread",
+        "new",
+    ];
 
     /// The index of its name among [`Self::LABELS`].
     pub fn label_index(self) -> usize {
@@ -53,12 +66,16 @@
             Self::Idle { .. } => 2,
             Self::Answering => 3,
             Self::Unread { .. } => 4,
+            Self::New { .. } => 5,
         }
     }
 
     /// Whether bytes that arrive now belong to the request that is waited for.
     pub fn is_reading(self) -> bool {
-        matches!(self, Self::Incomplete { .. } | Self::Idle { .. })
+        matches!(
+            self,
+            Self::New { .. } | Self::Incomplete { .. } | Self::Idle { .. }
+        )
     }
 
     /// Its name in logs and metrics.
@@ -142,6 +159,7 @@
     let (rank, since, evictable_at) = match occupancy {
         Occupancy::Answering => return None,
         Occupancy::Closing => (Rank::Closing, now, now),
+        Occupancy::New { since } => (Rank::Stopped, since, since + STALL_TIME),
         Occupancy::Incomplete { began, last_bytes } => {
             let stopped_at = (last_bytes + STALL_TIME).min(began + MAX_ARRIVAL_TIME);
             (Rank::Stopped, last_bytes, stopped_at)
--- a/src/bin/sidecar/eviction/tests.rs
+++ b/src/bin/sidecar/eviction/tests.rs
@@ -6,6 +6,11 @@
 const MILLISECOND: Duration = Duration::from_millis(1);
 
 fn silent(at: Instant) -> Occupancy {
+    Occupancy::New { since: at }
+}
+
+/// Part of a request has arrived, all of it at once.
+fn incomplete(at: Instant) -> Occupancy {
     Occupancy::Incomplete {
         began: at,
         last_bytes: at,
@@ -58,12 +63,14 @@
 #[test]
 fn a_request_that_may_still_be_arriving_is_waited_for() {
     let start = Instant::now();
-    let connections = [silent(start + MILLISECOND), silent(start)];
-    assert_eq!(
-        chosen(&connections, start + MILLISECOND * 2),
-        Choice::NotBefore(start + STALL_TIME)
-    );
-    assert_eq!(chosen(&connections, start + STALL_TIME), Choice::Evict(1));
+    for stopped in [silent, incomplete] {
+        let connections = [stopped(start + MILLISECOND), stopped(start)];
+        assert_eq!(
+            chosen(&connections, start + MILLISECOND * 2),
+            Choice::NotBefore(start + STALL_TIME)
+        );
+        assert_eq!(chosen(&connections, start + STALL_TIME), Choice::Evict(1));
+    }
 }
 
 // Clients that send a byte at a time must not hold all places for as long as a head may take.
--- a/tests/sidecar/stalled_clients.rs
+++ b/tests/sidecar/stalled_clients.rs
@@ -255,6 +255,6 @@
     assert_eq!(ask(&mut sidecar.connect()).status(), 200);
     drop(peers);
     let log = sidecar.stop_and_read_log();
-    let line = "client connections full: closed one (incomplete) for a new one";
+    let line = "client connections full: closed one (new) for a new one";
     assert_eq!(log.matches(line).count(), 1, "{log}");
 }
