Count the time of a request from its own first byte

Cause: header_read_timeout of the HTTP library begins as it starts to wait for a head, right after the answer before it, so that one timer limited the idle time and the request together.

Change: arrival_deadline.rs (pure) has a limit for each, applied by the session: 2.3 s without a request, as before, and 2.8 s from a request's first byte (on a new connection from the accept), its body included, which keeps the 3 s that peers are owed that stop half way. What is cut off by a limit after it has been read in part gets 408, or 503 at the end of a shutdown, in place of silence. Same cause on related paths: new connections, connections accepted after SIGTERM. The read that looked past the runtime's readiness before the library's timer is gone with that timer; the session looks at the socket itself before it closes.

--- a/src/bin/sidecar/client.rs
+++ b/src/bin/sidecar/client.rs
@@ -2,6 +2,7 @@
 
 mod memory;
 
+use crate::arrival_deadline::REQUEST_TIMEOUT;
 use crate::eviction::Occupancy;
 use crate::head_allowance::HeadAllowance;
 use crate::message_memory::MemoryShare;
@@ -100,6 +101,11 @@
         }
     }
 
+    /// Until when the request that has begun must have arrived completely.
+    pub fn request_deadline(&self) -> Instant {
+        self.request_began.get() + REQUEST_TIMEOUT
+    }
+
     /// Whether an answer has not been written completely.
     pub fn is_writing(&self) -> bool {
         self.unwritten_since.get().is_some()
@@ -209,11 +215,6 @@
     pub fn has_partial_request(&self) -> bool {
         self.has_partial_request.get()
     }
-
-    /// Whether the client has sent nothing at all.
-    pub fn received_nothing(&self) -> bool {
-        self.received_nothing.get()
-    }
 }
 
 impl Drop for AnsweringGuard {
--- a/src/bin/sidecar/client_socket.rs
+++ b/src/bin/sidecar/client_socket.rs
@@ -10,16 +10,11 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Sleep, sleep};
 
-/// Checks the socket itself before a connection counts as idle: after the process was suspended,
-/// the runtime's timers fire before it has noticed bytes that arrived in the meantime.
+/// A client's socket. Records what is read and written, and limits how long an answer is left unread.
 pub struct ClientSocket {
     client: Rc<Client>,
-    /// When bytes were last read.
-    last_read_at: Instant,
-    /// Time without reads after which a timer may be about to close the connection.
-    recheck_after: Duration,
     /// How long the client may leave an answer unread.
     stall_timeout: Duration,
     /// Runs while the socket is not writable.
@@ -27,14 +22,11 @@
 }
 
 impl ClientSocket {
-    /// Wraps a connection that may be closed after more than `recheck_after` without reads, and
-    /// that fails once its client has left an answer unread for longer than `stall_timeout` after
-    /// the socket's buffer was full.
-    pub fn new(client: Rc<Client>, recheck_after: Duration, stall_timeout: Duration) -> Self {
+    /// Wraps a connection that fails once its client has left an answer unread for longer than
+    /// `stall_timeout` after the socket's buffer was full.
+    pub fn new(client: Rc<Client>, stall_timeout: Duration) -> Self {
         Self {
             client,
-            last_read_at: Instant::now(),
-            recheck_after,
             stall_timeout,
             stall_timer: None,
         }
@@ -76,7 +68,7 @@
 
 impl AsyncRead for ClientSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -88,36 +80,17 @@
             Err(error) => return Poll::Ready(Err(error)),
         };
         loop {
-            match self.stream().poll_read_ready(cx) {
-                Poll::Ready(ready) => ready?,
-                Poll::Pending if self.last_read_at.elapsed() < self.recheck_after => {
-                    return Poll::Pending;
-                }
-                Poll::Pending => {}
-            }
+            ready!(self.stream().poll_read_ready(cx))?;
             let unfilled = buf.initialize_unfilled_to(limit);
-            let read = match self.stream().try_read(unfilled) {
-                // The runtime may not yet know that the socket is readable.
-                Err(e)
-                    if e.kind() == io::ErrorKind::WouldBlock
-                        && self.last_read_at.elapsed() >= self.recheck_after =>
-                {
-                    io::Read::read(&mut &*SockRef::from(self.stream()), unfilled)
-                }
-                read => read,
-            };
-            match read {
+            match self.stream().try_read(unfilled) {
                 Ok(length) => {
                     buf.advance(length);
                     if length > 0 {
                         self.client.note_bytes_read(length);
                     }
-                    self.last_read_at = Instant::now();
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    ready!(self.stream().poll_read_ready(cx))?
-                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
--- a/src/bin/sidecar/main.rs
+++ b/src/bin/sidecar/main.rs
@@ -9,6 +9,7 @@
 #[cfg(feature = "product")]
 mod affinity_pages;
 mod answer_progress;
+mod arrival_deadline;
 mod attempt;
 mod body;
 mod client;
--- a/src/bin/sidecar/refusal.rs
+++ b/src/bin/sidecar/refusal.rs
@@ -9,7 +9,7 @@
     Improper,
     /// Its body is longer than allowed.
     TooLong,
-    /// Its body did not arrive in time.
+    /// It did not arrive completely in time.
     Incomplete,
     /// There is no memory for it.
     NoMemory,
@@ -48,6 +48,15 @@
         }
     }
 
+    /// The answer as it is sent where the HTTP library has no request to answer, since its head is
+    /// not complete. The connection is closed behind it.
+    pub fn response(self) -> String {
+        format!(
+            "HTTP/1.1 {}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+            self.status()
+        )
+    }
+
     /// Whether the connection stays open: all of the request has been read, and others may follow.
     pub fn keeps_connection(self) -> bool {
         self == Self::ClientMayHaveLeft
--- a/src/bin/sidecar/serving.rs
+++ b/src/bin/sidecar/serving.rs
@@ -123,7 +123,10 @@
         return Ok(refuse(handle, Refusal::Improper));
     };
     let deadline = arrived.saturating_add(parsed.time_left);
-    let body_deadline = handle.instant(deadline).min(Instant::now() + BODY_TIMEOUT);
+    let body_deadline = handle
+        .instant(deadline)
+        .min(Instant::now() + BODY_TIMEOUT)
+        .min(client.request_deadline());
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Ok(refuse(handle, Refusal::TooLong));
     }
--- a/src/bin/sidecar/session.rs
+++ b/src/bin/sidecar/session.rs
@@ -1,39 +1,30 @@
 //! One client connection, from accept to close.
 
+use crate::arrival_deadline::{FINAL_POLL_TIME, IDLE_TIMEOUT, Phase, arrival_deadline};
 use crate::client::{Client, MAX_HEAD_BYTES};
 use crate::client_connections::Place;
 use crate::client_socket::ClientSocket;
 use crate::closing::linger;
 use crate::engine_handle::EngineHandle;
+use crate::refusal::Refusal;
 use crate::request_headers::RequestClasses;
 use crate::serving::serve;
 use crate::shutdown::ShutdownStage;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::future::{Future, pending, poll_fn};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, Sleep, sleep_until};
 
-/// A connection without a complete request head for this long is closed, and sooner during a
-/// shutdown. Silent clients must get an error or a close within 3 s; well-behaved clients keep
-/// their connections for 2 s.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(2300);
-const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time in which the runtime notices what the system has already received.
-const FINAL_POLL_TIME: Duration = Duration::from_millis(2);
-/// How often that time is granted while more bytes keep arriving. Limited, because a request that
-/// is being answered delays those behind it.
+/// How often the runtime is given time to notice what has arrived before a connection is closed.
+/// Limited, because a request that is being answered delays those behind it.
 const MAX_FINAL_POLLS: usize = 3;
 
-/// The answer to a request of which not even the head could be read for lack of memory.
-const REFUSAL: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
-
 /// The context shared by all client connections.
 #[derive(Clone)]
 pub struct Session {
@@ -54,27 +45,29 @@
         // Without it an answer may wait for an acknowledgement, but failing to set it is no reason
         // to reject the connection.
         let _ = client.stream().set_nodelay(true);
-        tokio::select! {
+        let refusal = tokio::select! {
             biased;
             // Before anything more is read: the choice holds for what had been read until then.
-            () = place.evicted() => {}
-            () = self.serve_requests(&client) => {}
-        }
-        if client.was_refused_memory() {
-            // All earlier answers are written, so the socket takes it.
-            let _ = client.stream().try_write(REFUSAL);
+            () = place.evicted() => None,
+            refusal = self.serve_requests(&client) => refusal,
+        };
+        if let Some(reason) = refusal {
+            self.refuse(&client, reason);
         }
         client.begin_closing();
         linger(client.stream(), place.evicted()).await;
     }
 
-    /// Serves requests until the connection is to be closed and every answer is written.
-    async fn serve_requests(&self, client: &Rc<Client>) {
-        let idle = if *self.shutdown.borrow() == ShutdownStage::Running {
-            IDLE_TIMEOUT
-        } else {
-            SHUTDOWN_IDLE_TIMEOUT
-        };
+    /// Answers a request of which not even the head was read completely.
+    fn refuse(&self, client: &Client, reason: Refusal) {
+        self.handle.record_refusal(reason);
+        // All earlier answers are written, so the socket takes it.
+        let _ = client.stream().try_write(reason.response().as_bytes());
+    }
+
+    /// Serves requests until the connection is to be closed and every answer is written. Returns
+    /// with which answer, if part of a request has been read that gets no other.
+    async fn serve_requests(&self, client: &Rc<Client>) -> Option<Refusal> {
         let (session, served_client) = (self.clone(), Rc::clone(client));
         let service = service_fn(move |request| {
             let guard = served_client.begin_request();
@@ -95,41 +88,36 @@
                 reply.await
             }
         });
-        let socket = ClientSocket::new(
-            Rc::clone(client),
-            idle - FINAL_POLL_TIME,
-            self.stall_timeout,
-        );
+        let socket = ClientSocket::new(Rc::clone(client), self.stall_timeout);
         let mut builder = http1::Builder::new();
+        // The library's own limit of a head would begin at the answer before it.
         builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(idle)
+            .header_read_timeout(None)
             .max_buf_size(MAX_HEAD_BYTES);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
-        tokio::select! {
-            biased;
-            // Errors of a connection concern only its client, which got a 400 or has disconnected.
-            _ = connection.as_mut() => return,
-            () = self.wait_for_stage(ShutdownStage::Closing) => {}
-        }
-        // A request that has arrived unnoticed is still served: closing now would cost its client a
-        // retry.
-        for _ in 0..MAX_FINAL_POLLS {
-            if timeout(FINAL_POLL_TIME, connection.as_mut()).await.is_ok() {
-                return;
-            }
-            if !client.has_unread_bytes() {
-                break;
-            }
-        }
-        let ended = tokio::select! {
+        let mut end = tokio::select! {
             biased;
-            ended = finish(connection.as_mut(), client) => ended,
-            () = self.wait_for_stage(ShutdownStage::Immediate) => false,
+            end = drive(connection.as_mut(), client, Phase::Running) => end,
+            () = self.wait_for_stage(ShutdownStage::Closing) => End::Stage,
         };
-        if !ended {
+        if end == End::Stage {
+            let since = Instant::now();
+            end = tokio::select! {
+                biased;
+                end = drive(connection.as_mut(), client, Phase::Closing { since }) => end,
+                () = self.wait_for_stage(ShutdownStage::Immediate) => End::Stage,
+            };
+        }
+        if end != End::Connection && (client.is_answering() || client.is_writing()) {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
+            end = End::Connection;
+        }
+        match end {
+            End::Connection if client.was_refused_memory() => Some(Refusal::NoMemory),
+            End::Overdue if client.has_partial_request() => Some(Refusal::Incomplete),
+            End::Stage if client.has_partial_request() => Some(Refusal::ShutDown),
+            _ => None,
         }
     }
 
@@ -147,28 +135,71 @@
     }
 }
 
-/// Drives a connection until it has ended, which returns `true`, or until nothing more is waited
-/// for: during the grace period, a request that has partly arrived or that a new client is about to
-/// send; for the idle timeout, requests pipelined behind the one that is being answered.
-async fn finish(mut connection: Pin<&mut impl Future>, client: &Client) -> bool {
-    let mut grace = pin!(sleep(SHUTDOWN_IDLE_TIMEOUT));
-    let mut pipelined = pin!(sleep(IDLE_TIMEOUT));
-    let mut grace_over = false;
+/// Why a connection is no longer driven.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// It has ended. Errors concern only its client, which got a 400 or has disconnected.
+    Connection,
+    /// Nothing more is waited for on it.
+    Overdue,
+    /// The shutdown has reached the next stage.
+    Stage,
+}
+
+/// Drives a connection until it has ended, or until nothing more is waited for.
+async fn drive(mut connection: Pin<&mut impl Future>, client: &Client, phase: Phase) -> End {
+    let mut overdue = Overdue {
+        timer: pin!(sleep_until(Instant::now())),
+        not_before: Instant::now(),
+        final_polls: 0,
+    };
     poll_fn(|cx| {
         if connection.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(true);
-        }
-        grace_over = grace_over || grace.as_mut().poll(cx).is_ready();
-        let expected = if client.is_answering() {
-            client.has_partial_request() && pipelined.as_mut().poll(cx).is_pending()
-        } else {
-            (client.has_partial_request() || client.received_nothing()) && !grace_over
-        };
-        if expected {
-            Poll::Pending
-        } else {
-            Poll::Ready(false)
+            return Poll::Ready(End::Connection);
         }
+        overdue.poll(client, phase, cx).map(|()| End::Overdue)
     })
     .await
 }
+
+/// Until when the connection is driven if nothing more arrives.
+fn deadline(client: &Client, phase: Phase) -> Option<Instant> {
+    match phase {
+        _ if !client.is_answering() => arrival_deadline(client.occupancy(), phase),
+        Phase::Running => None,
+        // For requests pipelined behind the one that is being answered.
+        Phase::Closing { since } if client.has_partial_request() => Some(since + IDLE_TIMEOUT),
+        Phase::Closing { since } => Some(since + FINAL_POLL_TIME),
+    }
+}
+
+/// Finds out that nothing more is waited for on a connection.
+struct Overdue<'a> {
+    timer: Pin<&'a mut Sleep>,
+    /// The runtime has time until then to notice what has arrived.
+    not_before: Instant,
+    /// How often it was given that time since the deadline.
+    final_polls: usize,
+}
+
+impl Overdue<'_> {
+    /// After a suspension the runtime's timers fire before it has noticed what arrived meanwhile, so
+    /// the socket itself is looked at.
+    fn poll(&mut self, client: &Client, phase: Phase, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let Some(deadline) = deadline(client, phase) else {
+                return Poll::Pending;
+            };
+            let due = deadline.max(self.not_before);
+            if self.timer.deadline() != due {
+                self.timer.as_mut().reset(due);
+            }
+            ready!(self.timer.as_mut().poll(cx));
+            if self.final_polls == MAX_FINAL_POLLS || !client.has_unread_bytes() {
+                return Poll::Ready(());
+            }
+            self.final_polls += 1;
+            self.not_before = Instant::now() + FINAL_POLL_TIME;
+        }
+    }
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -23,6 +23,7 @@
 mod requests;
 mod restarts;
 mod room;
+mod slow_clients;
 mod stalled_clients;
 mod starting;
 mod stopping;
