Keep requests that arrive in pieces when idle clients fill the places

Cause: where all places are taken, eviction.rs closes a connection for each new one, and took a request of which nothing had come for 20 ms for one whose client has stopped; such a request went before every idle connection, and its client was told nothing.

Change: a request counts as abandoned 250 ms after its last bytes or 0.5 s after its first, and is closed before idle connections only then. Before that it is closed only if its client has not been served on this connection and idle connections are not more than such clients: after 20 ms or 0.1 s, as before, so that peers that stop half way still give way fast where they are what fills the places. Of idle connections those go first on which nothing was served. What is closed half read gets 503. The same on the related path: requests that hold memory while others wait for it.

--- a/src/bin/sidecar/arrival_deadline.rs
+++ b/src/bin/sidecar/arrival_deadline.rs
@@ -3,7 +3,7 @@
 //! An idle connection's time counts from its last answer, a request's from its own first byte: a
 //! client that sends slowly has the same time however long its connection has been idle.
 
-use crate::eviction::Occupancy;
+use crate::occupancy::Occupancy;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -35,12 +35,12 @@
 pub fn arrival_deadline(occupancy: Occupancy, phase: Phase) -> Option<Instant> {
     match (occupancy, phase) {
         (Occupancy::Answering | Occupancy::Unread { .. } | Occupancy::Closing, _) => None,
-        (Occupancy::New { since } | Occupancy::Idle { since }, Phase::Running) => {
+        (Occupancy::New { since } | Occupancy::Idle { since, .. }, Phase::Running) => {
             Some(since + IDLE_TIMEOUT)
         }
         (Occupancy::Incomplete { began, .. }, Phase::Running) => Some(began + REQUEST_TIMEOUT),
         // Its client may send a request that crosses the close, and sends it once more then.
-        (Occupancy::Idle { since: idle }, Phase::Closing { since }) => {
+        (Occupancy::Idle { since: idle, .. }, Phase::Closing { since }) => {
             Some(idle.max(since + FINAL_POLL_TIME))
         }
         (
--- a/src/bin/sidecar/arrival_deadline/tests.rs
+++ b/src/bin/sidecar/arrival_deadline/tests.rs
@@ -12,8 +12,12 @@
     let request = Occupancy::Incomplete {
         began,
         last_bytes: began,
+        was_served: false,
+    };
+    let idle = Occupancy::Idle {
+        since: answered,
+        was_served: false,
     };
-    let idle = Occupancy::Idle { since: answered };
     assert_eq!(
         arrival_deadline(idle, Phase::Running),
         Some(answered + IDLE_TIMEOUT)
@@ -38,6 +42,7 @@
     let trickling = Occupancy::Incomplete {
         began,
         last_bytes: began + REQUEST_TIMEOUT,
+        was_served: false,
     };
     let deadline = arrival_deadline(trickling, Phase::Running);
     assert_eq!(deadline, Some(began + REQUEST_TIMEOUT));
@@ -59,7 +64,10 @@
     let accepted = Instant::now();
     let since = accepted + MILLISECOND * 10;
     let closing = Phase::Closing { since };
-    let idle = Occupancy::Idle { since: accepted };
+    let idle = Occupancy::Idle {
+        since: accepted,
+        was_served: false,
+    };
     assert_eq!(
         arrival_deadline(idle, closing),
         Some(since + FINAL_POLL_TIME)
@@ -73,6 +81,7 @@
     let request = Occupancy::Incomplete {
         began: accepted,
         last_bytes,
+        was_served: false,
     };
     assert_eq!(
         arrival_deadline(request, closing),
--- a/src/bin/sidecar/client.rs
+++ b/src/bin/sidecar/client.rs
@@ -3,9 +3,9 @@
 mod memory;
 
 use crate::arrival_deadline::REQUEST_TIMEOUT;
-use crate::eviction::Occupancy;
 use crate::head_allowance::HeadAllowance;
 use crate::message_memory::MemoryShare;
+use crate::occupancy::Occupancy;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::mem::MaybeUninit;
@@ -33,6 +33,8 @@
     is_awaiting_body: Cell<bool>,
     /// Since when the socket has been given answers that it has not taken completely.
     unwritten_since: Cell<Option<Instant>>,
+    /// An endpoint has answered one of its requests.
+    was_served: Cell<bool>,
     /// No more requests are read.
     is_closing: Cell<bool>,
     /// When it was accepted, or the first bytes of the latest request arrived.
@@ -64,6 +66,7 @@
             is_answering: Cell::default(),
             is_awaiting_body: Cell::default(),
             unwritten_since: Cell::default(),
+            was_served: Cell::default(),
             is_closing: Cell::default(),
             request_began: Cell::new(now),
             last_active: Cell::new(now),
@@ -94,10 +97,13 @@
             Occupancy::Incomplete {
                 began: self.request_began.get(),
                 last_bytes: self.last_active.get(),
+                was_served: self.was_served.get(),
             }
         } else {
-            let since = self.last_active.get();
-            Occupancy::Idle { since }
+            Occupancy::Idle {
+                since: self.last_active.get(),
+                was_served: self.was_served.get(),
+            }
         }
     }
 
@@ -193,6 +199,11 @@
         self.is_awaiting_body.set(is_awaiting);
     }
 
+    /// Records that an endpoint has answered one of its requests.
+    pub fn note_served(&self) {
+        self.was_served.set(true);
+    }
+
     /// Records that no more requests are read.
     pub fn begin_closing(&self) {
         self.is_closing.set(true);
--- a/src/bin/sidecar/client/memory.rs
+++ b/src/bin/sidecar/client/memory.rs
@@ -1,8 +1,9 @@
 //! The memory of a client connection's messages.
 
 use super::Client;
-use crate::eviction::{HeldMemory, Occupancy};
+use crate::eviction::HeldMemory;
 use crate::message_memory::MemoryShare;
+use crate::occupancy::Occupancy;
 use std::io;
 use std::task::{Context, Poll};
 
--- a/src/bin/sidecar/client_connections.rs
+++ b/src/bin/sidecar/client_connections.rs
@@ -3,10 +3,12 @@
 mod memory_shortage;
 
 use crate::client::Client;
-use crate::eviction::{Choice, Occupancy, STALL_TIME, choose};
+use crate::eviction::{Choice, STALL_TIME, choose};
 use crate::log_throttle::{LogThrottle, suppressed_note};
 use crate::message_memory::MessageMemory;
+use crate::occupancy::Occupancy;
 use crate::product::Observer;
+use crate::refusal::Refusal;
 use crate::report::say;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -41,10 +43,25 @@
 /// An open connection as the others see it.
 struct OpenConnection {
     client: Rc<Client>,
-    is_evicted: Cell<bool>,
+    eviction: Cell<Option<Eviction>>,
     evicted: Notify,
 }
 
+impl OpenConnection {
+    fn is_evicted(&self) -> bool {
+        self.eviction.get().is_some()
+    }
+}
+
+/// What becomes of the client of a connection that is closed for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Eviction {
+    /// Nothing has been read that it is owed an answer to.
+    Unanswered,
+    /// Part of a request has been read, which gets this answer.
+    Refused(Refusal),
+}
+
 /// The place of a connection, until it is dropped.
 pub struct Place {
     id: ConnectionId,
@@ -96,7 +113,7 @@
                 self.memory.requests.clone(),
                 Rc::clone(&self.changed),
             )),
-            is_evicted: Cell::default(),
+            eviction: Cell::default(),
             evicted: Notify::new(),
         });
         self.open.borrow_mut().insert(id, Rc::clone(&connection));
@@ -115,7 +132,7 @@
     /// ask again although none has changed until then.
     fn make_room(&self, now: Instant) -> Option<Instant> {
         let open = self.open.borrow();
-        if open.values().any(|connection| connection.is_evicted.get()) {
+        if open.values().any(|connection| connection.is_evicted()) {
             return None;
         }
         let mut received = Vec::new();
@@ -143,16 +160,19 @@
         }
     }
 
-    fn evict(&self, connection: &OpenConnection) -> Occupancy {
+    fn evict(&self, connection: &OpenConnection, reason: Refusal) -> Occupancy {
         let occupancy = connection.client.occupancy();
-        connection.is_evicted.set(true);
+        connection.eviction.set(Some(match occupancy {
+            Occupancy::Incomplete { .. } => Eviction::Refused(reason),
+            _ => Eviction::Unanswered,
+        }));
         connection.evicted.notify_one();
         self.observer.client_connection_evicted(occupancy);
         occupancy
     }
 
     fn evict_for_place(&self, connection: &OpenConnection) {
-        let occupancy = self.evict(connection);
+        let occupancy = self.evict(connection, Refusal::NoPlace);
         if let Some(suppressed) = self.eviction_log.borrow_mut().allow(Instant::now()) {
             say!(
                 warn,
@@ -186,9 +206,12 @@
         Rc::clone(&self.connection.client)
     }
 
-    /// Waits until the connection has to close for another one. Its client is owed no answer then.
-    pub async fn evicted(&self) {
-        while !self.connection.is_evicted.get() {
+    /// Waits until the connection has to close for another one.
+    pub async fn evicted(&self) -> Eviction {
+        loop {
+            if let Some(eviction) = self.connection.eviction.get() {
+                return eviction;
+            }
             self.connection.evicted.notified().await;
         }
     }
--- a/src/bin/sidecar/client_connections/memory_shortage.rs
+++ b/src/bin/sidecar/client_connections/memory_shortage.rs
@@ -3,6 +3,7 @@
 use super::{ClientConnections, OpenConnection};
 use crate::eviction::{STALL_TIME, WaitingMessage, choose_for_memory};
 use crate::log_throttle::suppressed_note;
+use crate::refusal::Refusal;
 use crate::report::say;
 use std::rc::Rc;
 use tokio::time::{Instant, sleep};
@@ -28,7 +29,7 @@
         let open = self.open.borrow();
         let holders = open
             .iter()
-            .filter(|(_, connection)| !connection.is_evicted.get())
+            .filter(|(_, connection)| !connection.is_evicted())
             .map(|(id, connection)| {
                 let client = &connection.client;
                 (
@@ -53,7 +54,7 @@
         message: WaitingMessage,
         waiting_bytes: usize,
     ) {
-        let occupancy = self.evict(connection);
+        let occupancy = self.evict(connection, Refusal::NoMemory);
         if let Some(suppressed) = self.memory_log.borrow_mut().allow(Instant::now()) {
             say!(
                 warn,
--- a/src/bin/sidecar/client_connections/tests.rs
+++ b/src/bin/sidecar/client_connections/tests.rs
@@ -65,7 +65,7 @@
             .expect("it has bytes");
         let later = Instant::now() + STALL_TIME;
         assert!(connections.make_room(later) > Some(later));
-        assert!(!place.connection.is_evicted.get());
+        assert!(!place.connection.is_evicted());
     });
 }
 
@@ -79,7 +79,7 @@
         for _ in 0..3 {
             assert_eq!(connections.make_room(later), None);
         }
-        let evicted = |place: &Place| place.connection.is_evicted.get();
+        let evicted = |place: &Place| place.connection.is_evicted();
         assert_eq!(
             places.iter().map(evicted).collect::<Vec<_>>(),
             [true, false]
--- a/src/bin/sidecar/closing.rs
+++ b/src/bin/sidecar/closing.rs
@@ -22,14 +22,14 @@
 
 /// Closes the sending side and discards what still arrives, within limits of bytes and time and
 /// until `cancelled`, which reports that the descriptor is needed. The caller drops the socket.
-pub async fn linger(stream: &TcpStream, cancelled: impl Future<Output = ()>) {
+pub async fn linger(stream: &TcpStream, cancelled: impl Future) {
     // The socket may be closed already; if the client has reset the connection, reading ends at
     // once.
     let _ = SockRef::from(stream).shutdown(Shutdown::Write);
     let mut remaining_bytes = MAX_LINGER_BYTES;
     tokio::select! {
         biased;
-        () = cancelled => {}
+        _ = cancelled => {}
         _ = timeout(MAX_LINGER_TIME, discard_until_closed(stream, &mut remaining_bytes)) => {}
     }
     // Unread bytes that the runtime has not noticed would cause a reset as well.
--- a/src/bin/sidecar/eviction.rs
+++ b/src/bin/sidecar/eviction.rs
@@ -1,89 +1,31 @@
 //! Chooses the client connection that has to make room for a new one. Pure.
 //!
 //! A connection whose request is being answered is never closed. Of the others, those go first whose
-//! end costs their client least: a closing one, then one whose request has stopped arriving, then an
-//! idle one, and at last one whose client does not read its answer.
+//! end costs their client least: a closing one, then one that is new and silent, one whose request
+//! is abandoned, an idle one, and at last one whose client does not read its answer.
+//!
+//! A request that pauses can't be told from one whose client has stopped. Requests of clients that
+//! have been served before are waited for; those of others as long as idle connections are more.
 
+use crate::occupancy::Occupancy;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A request that is not complete counts as stopped after this long without further bytes. A client
-/// on this machine that has just connected needs less for its first bytes.
+/// A new connection counts as silent, and a request of a client that has not been served as
+/// stopped, after this long without further bytes. A client on this machine that has just connected
+/// needs less for its first bytes.
 pub const STALL_TIME: Duration = Duration::from_millis(20);
-/// An incomplete request counts as stopped after this long, however regularly bytes arrive.
+/// A request of a client that has not been served counts as stopped after this long, however
+/// regularly bytes arrive.
 pub const MAX_ARRIVAL_TIME: Duration = Duration::from_millis(100);
+/// Any request counts as abandoned after this long without further bytes. An answer may be late by
+/// 0.5 s, in which the places are given twice then.
+pub const ABANDONED_AFTER: Duration = Duration::from_millis(250);
+/// Any request counts as abandoned after this long, however regularly bytes arrive.
+pub const MAX_PROTECTED_TIME: Duration = Duration::from_millis(500);
 /// An answer counts as left unread if its client, on this machine, has not taken it after this long.
 pub const UNREAD_TIME: Duration = Duration::from_millis(500);
 
-/// What a client connection is occupied with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Occupancy {
-    /// Its last answer is written, and it is being closed.
-    Closing,
-    /// Nothing has arrived on it yet.
-    New {
-        /// When it was accepted.
-        since: Instant,
-    },
-    /// Part of a request has arrived.
-    Incomplete {
-        /// When the client connected, or sent the first bytes of this request if it has sent others
-        /// before.
-        began: Instant,
-        /// When bytes last arrived.
-        last_bytes: Instant,
-    },
-    /// Every request is answered.
-    Idle {
-        /// Since when.
-        since: Instant,
-    },
-    /// A request is being answered.
-    Answering,
-    /// Answers are to be written that the socket has not taken completely.
-    Unread {
-        /// Since when.
-        since: Instant,
-    },
-}
-
-impl Occupancy {
-    /// The names in logs and metrics.
-    pub const LABELS: [&str; 6] = [
-        "closing",
-        "incomplete",
-        "idle",
-        "answering",
-        "unread",
-        "new",
-    ];
-
-    /// The index of its name among [`Self::LABELS`].
-    pub fn label_index(self) -> usize {
-        match self {
-            Self::Closing => 0,
-            Self::Incomplete { .. } => 1,
-            Self::Idle { .. } => 2,
-            Self::Answering => 3,
-            Self::Unread { .. } => 4,
-            Self::New { .. } => 5,
-        }
-    }
-
-    /// Whether bytes that arrive now belong to the request that is waited for.
-    pub fn is_reading(self) -> bool {
-        matches!(
-            self,
-            Self::New { .. } | Self::Incomplete { .. } | Self::Idle { .. }
-        )
-    }
-
-    /// Its name in logs and metrics.
-    pub fn label(self) -> &'static str {
-        Self::LABELS[self.label_index()]
-    }
-}
-
 /// The message that waits for memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaitingMessage {
@@ -140,11 +82,23 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
     Closing,
-    Stopped,
+    Silent,
+    Abandoned,
+    /// Idle, and no request was served on it.
+    UnservedIdle,
     Idle,
+    /// Part of a request has arrived, and the rest may follow.
+    Arriving,
     Unread,
 }
 
+impl Rank {
+    /// Closed whenever there is one.
+    const USELESS: [Self; 3] = [Self::Closing, Self::Silent, Self::Abandoned];
+    /// Without a request that is still to be answered.
+    const SETTLED: [Self; 3] = [Self::UnservedIdle, Self::Idle, Self::Unread];
+}
+
 /// Where a connection stands in that order.
 struct Standing {
     rank: Rank,
@@ -152,6 +106,8 @@
     since: Instant,
     /// It may not be closed before.
     evictable_at: Instant,
+    /// Its client may be about to send, and has not been served before.
+    is_unproven: bool,
 }
 
 /// Where a connection stands; `None` if it may not be closed.
@@ -159,18 +115,36 @@
     let (rank, since, evictable_at) = match occupancy {
         Occupancy::Answering => return None,
         Occupancy::Closing => (Rank::Closing, now, now),
-        Occupancy::New { since } => (Rank::Stopped, since, since + STALL_TIME),
-        Occupancy::Incomplete { began, last_bytes } => {
+        Occupancy::New { since } => (Rank::Silent, since, since + STALL_TIME),
+        Occupancy::Incomplete {
+            began,
+            last_bytes,
+            was_served,
+        } => {
+            let abandoned_at = (last_bytes + ABANDONED_AFTER).min(began + MAX_PROTECTED_TIME);
             let stopped_at = (last_bytes + STALL_TIME).min(began + MAX_ARRIVAL_TIME);
-            (Rank::Stopped, last_bytes, stopped_at)
+            let rank = if abandoned_at <= now {
+                Rank::Abandoned
+            } else {
+                Rank::Arriving
+            };
+            let evictable_at = if was_served { abandoned_at } else { stopped_at };
+            (rank, last_bytes, evictable_at)
         }
-        Occupancy::Idle { since } => (Rank::Idle, since, now),
+        Occupancy::Idle { since, was_served } if was_served => (Rank::Idle, since, now),
+        Occupancy::Idle { since, .. } => (Rank::UnservedIdle, since, now),
         Occupancy::Unread { since } => (Rank::Unread, since, since + UNREAD_TIME),
     };
+    let is_unproven = match occupancy {
+        Occupancy::New { .. } => evictable_at > now,
+        Occupancy::Incomplete { was_served, .. } => !was_served && rank == Rank::Arriving,
+        _ => false,
+    };
     Some(Standing {
         rank,
         since,
         evictable_at,
+        is_unproven,
     })
 }
 
@@ -198,42 +172,38 @@
 
 /// Chooses among all connections of a sidecar that has no place for another one.
 ///
-/// Idle and unread connections are closed before incomplete ones that may still be arriving if they
-/// are more: otherwise new clients could use only what they leave.
+/// Idle and unread connections are closed if they are more than those whose clients have not been
+/// served and may be about to send: otherwise new clients could use only what these leave. If they
+/// are not more, requests of such clients that have paused make room: otherwise peers that stop half
+/// way could close all idle connections.
 pub fn choose<Id: Copy + Ord>(
     connections: impl Iterator<Item = (Id, Occupancy)>,
     now: Instant,
 ) -> Choice<Id> {
-    let mut first: Option<(Rank, Instant, Id)> = None;
-    let mut not_before: Option<Instant> = None;
-    let (mut settled, mut arriving) = (0_usize, 0_usize);
-    for (id, occupancy) in connections {
-        let Some(Standing {
-            rank,
-            since,
-            evictable_at,
-        }) = standing(occupancy, now)
-        else {
-            continue;
-        };
-        if evictable_at > now {
-            arriving += usize::from(rank == Rank::Stopped);
-            not_before = Some(not_before.map_or(evictable_at, |earlier| earlier.min(evictable_at)));
-            continue;
-        }
-        settled += usize::from(matches!(rank, Rank::Idle | Rank::Unread));
-        if first.is_none_or(|best| (rank, since, id) < best) {
-            first = Some((rank, since, id));
-        }
-    }
-    match (first, not_before) {
-        (Some((Rank::Idle | Rank::Unread, ..)), Some(time)) if arriving >= settled => {
-            Choice::NotBefore(time)
-        }
-        (Some((.., id)), _) => Choice::Evict(id),
-        (None, Some(time)) => Choice::NotBefore(time),
-        (None, None) => Choice::Nothing,
-    }
+    let standings: Vec<(Id, Standing)> = connections
+        .filter_map(|(id, occupancy)| Some((id, standing(occupancy, now)?)))
+        .collect();
+    let evictable = |ranks: &'static [Rank]| {
+        let of_ranks = standings.iter().filter(|(_, s)| ranks.contains(&s.rank));
+        of_ranks.filter(|(_, s)| s.evictable_at <= now)
+    };
+    let first = |ranks| {
+        evictable(ranks)
+            .min_by_key(|(id, s)| (s.rank, s.since, *id))
+            .map(|(id, _)| Choice::Evict(*id))
+    };
+    let unproven = standings.iter().filter(|(_, s)| s.is_unproven).count();
+    let settled = evictable(&Rank::SETTLED).count();
+    let next: &[Rank] = if settled > unproven {
+        &Rank::SETTLED
+    } else {
+        &[Rank::Arriving]
+    };
+    let later = standings.iter().map(|(_, s)| s.evictable_at);
+    first(&Rank::USELESS)
+        .or_else(|| first(next))
+        .or_else(|| later.filter(|at| *at > now).min().map(Choice::NotBefore))
+        .unwrap_or(Choice::Nothing)
 }
 
 #[cfg(test)]
--- a/src/bin/sidecar/eviction/tests.rs
+++ b/src/bin/sidecar/eviction/tests.rs
@@ -9,11 +9,24 @@
     Occupancy::New { since: at }
 }
 
-/// Part of a request has arrived, all of it at once.
+/// Part of a request has arrived, all of it at once, of a client that has not been served before.
 fn incomplete(at: Instant) -> Occupancy {
+    incomplete_of(at, false)
+}
+
+fn incomplete_of(at: Instant, was_served: bool) -> Occupancy {
     Occupancy::Incomplete {
         began: at,
         last_bytes: at,
+        was_served,
+    }
+}
+
+/// A connection on which requests have been served.
+fn idle(since: Instant) -> Occupancy {
+    Occupancy::Idle {
+        since,
+        was_served: true,
     }
 }
 
@@ -38,7 +51,12 @@
     let now = start + Duration::from_secs(60);
     let by_rank = [
         Occupancy::Unread { since: start },
-        Occupancy::Idle { since: start },
+        idle(start),
+        Occupancy::Idle {
+            since: start + Duration::from_secs(59),
+            was_served: false,
+        },
+        incomplete_of(now - ABANDONED_AFTER, true),
         silent(start + Duration::from_secs(59)),
         Occupancy::Closing,
     ];
@@ -55,6 +73,7 @@
     let slow = Occupancy::Incomplete {
         began: start,
         last_bytes: at(880),
+        was_served: false,
     };
     let connections = [silent(at(500)), silent(at(300)), silent(at(400)), slow];
     assert_eq!(chosen(&connections, at(900)), Choice::Evict(1));
@@ -80,6 +99,7 @@
     let trickling = |now| Occupancy::Incomplete {
         began,
         last_bytes: now,
+        was_served: false,
     };
     let before = began + MAX_ARRIVAL_TIME - MILLISECOND;
     assert_eq!(
@@ -95,9 +115,7 @@
 #[test]
 fn idle_connections_give_way_to_new_ones_while_they_are_more() {
     let now = Instant::now() + Duration::from_secs(60);
-    let idle = Occupancy::Idle {
-        since: now - MILLISECOND,
-    };
+    let idle = idle(now - MILLISECOND);
     let (few, many) = ([idle, silent(now)], [idle, idle, silent(now)]);
     assert_eq!(chosen(&few, now), Choice::NotBefore(now + STALL_TIME));
     assert_eq!(chosen(&many, now), Choice::Evict(0));
@@ -111,6 +129,82 @@
     assert_eq!(chosen(&mostly_answering, now), Choice::Evict(2));
 }
 
+/// Time between two pieces of a request, longer than `STALL_TIME`.
+const PAUSE: Duration = Duration::from_millis(60);
+
+// A request in two pieces used to be closed half read before every idle connection (review/8).
+#[test]
+fn a_request_that_pauses_is_kept_while_idle_connections_are_more() {
+    let now = Instant::now() + Duration::from_secs(60);
+    for was_served in [false, true] {
+        let paused = incomplete_of(now - PAUSE, was_served);
+        let connections = [paused, idle(now), idle(now - MILLISECOND)];
+        assert_eq!(chosen(&connections, now), Choice::Evict(2));
+    }
+}
+
+// Peers that stop half way must not be able to close all idle connections.
+#[test]
+fn paused_requests_of_unserved_clients_give_way_to_new_ones_unless_idle_connections_are_more() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let paused = incomplete(now - PAUSE);
+    let earlier = incomplete(now - PAUSE - MILLISECOND);
+    let connections = [idle(now), idle(now), paused, earlier];
+    assert_eq!(chosen(&connections, now), Choice::Evict(3));
+}
+
+#[test]
+fn a_request_of_a_served_client_is_kept_until_it_is_abandoned() {
+    let began = Instant::now();
+    let crowd = [
+        incomplete_of(began, true),
+        incomplete(began + PAUSE),
+        incomplete(began + PAUSE),
+    ];
+    assert_eq!(chosen(&crowd, began + PAUSE * 2), Choice::Evict(1));
+    let until = Choice::NotBefore(began + ABANDONED_AFTER);
+    assert_eq!(chosen(&crowd[..1], began + PAUSE * 2), until);
+    assert_eq!(
+        chosen(&crowd[..1], began + ABANDONED_AFTER),
+        Choice::Evict(0)
+    );
+    let idle = idle(began);
+    assert_eq!(
+        chosen(&[crowd[0], idle, idle], began + ABANDONED_AFTER),
+        Choice::Evict(0)
+    );
+}
+
+// Clients that send a byte at a time must not hold all places, also those that were served before.
+#[test]
+fn a_request_of_a_served_client_that_arrives_byte_by_byte_is_protected_for_a_limited_time() {
+    let began = Instant::now();
+    let until = began + MAX_PROTECTED_TIME;
+    let trickling = |now| Occupancy::Incomplete {
+        began,
+        last_bytes: now,
+        was_served: true,
+    };
+    let before = until - MILLISECOND;
+    assert_eq!(
+        chosen(&[trickling(before)], before),
+        Choice::NotBefore(until)
+    );
+    assert_eq!(chosen(&[trickling(until)], until), Choice::Evict(0));
+}
+
+// The memory of a request that pauses used to be taken after 20 ms, and the request lost.
+#[test]
+fn a_request_of_a_served_client_keeps_its_memory_until_it_is_abandoned() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let holders = [
+        (1, incomplete_of(now - PAUSE, true), 100),
+        (2, incomplete_of(now - PAUSE, false), 100),
+        (3, incomplete_of(now - ABANDONED_AFTER, true), 100),
+    ];
+    assert_eq!(choose_for_memory(holders.into_iter(), 1000, now), [3, 2]);
+}
+
 #[test]
 fn a_client_that_does_not_read_its_answer_has_time_to_do_so() {
     let since = Instant::now();
@@ -172,6 +266,7 @@
     let stopped = |before: u64| Occupancy::Incomplete {
         began: now - Duration::from_secs(1),
         last_bytes: now - Duration::from_millis(before),
+        was_served: false,
     };
     let unread = Occupancy::Unread {
         since: now - UNREAD_TIME,
@@ -179,6 +274,7 @@
     let arriving = Occupancy::Incomplete {
         began: now,
         last_bytes: now,
+        was_served: false,
     };
     let holders = [
         (1, stopped(100), 0),
--- a/src/bin/sidecar/main.rs
+++ b/src/bin/sidecar/main.rs
@@ -40,6 +40,7 @@
 mod messages;
 #[cfg(feature = "product")]
 mod observer;
+mod occupancy;
 mod open_requests;
 #[cfg(feature = "product")]
 mod pages;
--- a/src/bin/sidecar/observer.rs
+++ b/src/bin/sidecar/observer.rs
@@ -3,8 +3,8 @@
 mod gossip;
 mod series;
 
-use crate::eviction::Occupancy;
 use crate::messages::{Answer, EngineSummary, OutgoingRequest};
+use crate::occupancy::Occupancy;
 use crate::refusal::Refusal;
 use load_balancer::{AttemptIndex, Micros, Outcome};
 use load_balancer_common::metering::MetricsRegistry;
--- a/src/bin/sidecar/observer/series.rs
+++ b/src/bin/sidecar/observer/series.rs
@@ -1,6 +1,6 @@
 //! The metrics of requests, attempts and lists, registered once at the start.
 
-use crate::eviction::Occupancy;
+use crate::occupancy::Occupancy;
 use crate::refusal::Refusal;
 use load_balancer::Outcome;
 use load_balancer_common::cli;
--- a/src/bin/sidecar/product_disabled.rs
+++ b/src/bin/sidecar/product_disabled.rs
@@ -3,10 +3,10 @@
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::eviction::Occupancy;
 use crate::exit_error::ExitError;
 use crate::host_list::HostList;
 use crate::messages::{Answer, InputSender, OutgoingRequest};
+use crate::occupancy::Occupancy;
 use crate::product_file::{CONFIG_VARIABLE, EARLIER_CONFIG_VARIABLE};
 use crate::refusal::Refusal;
 use load_balancer::{AttemptIndex, EndpointId, ListedEndpoint, Micros, Outcome, SharingOptions};
--- a/src/bin/sidecar/refusal.rs
+++ b/src/bin/sidecar/refusal.rs
@@ -13,6 +13,8 @@
     Incomplete,
     /// There is no memory for it.
     NoMemory,
+    /// Others need the place of its connection.
+    NoPlace,
     /// Its client may have left unnoticed.
     ClientMayHaveLeft,
     /// The process is about to exit.
@@ -21,11 +23,12 @@
 
 impl Refusal {
     /// The names in logs and metrics, in the order of [`Self::index`].
-    pub const LABELS: [&str; 6] = [
+    pub const LABELS: [&str; 7] = [
         "improper",
         "too_long",
         "incomplete",
         "no_memory",
+        "no_place",
         "client_may_have_left",
         "shut_down",
     ];
@@ -42,7 +45,7 @@
             Self::Improper => StatusCode::BAD_REQUEST,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
-            Self::NoMemory | Self::ClientMayHaveLeft | Self::ShutDown => {
+            Self::NoMemory | Self::NoPlace | Self::ClientMayHaveLeft | Self::ShutDown => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
         }
--- a/src/bin/sidecar/serving.rs
+++ b/src/bin/sidecar/serving.rs
@@ -210,6 +210,7 @@
             body,
             memory,
         }) => {
+            client.note_served();
             client.set_answer_memory(memory.as_ref().map_or(0, Reservation::bytes));
             let mut reply = Response::new(Full::new(reserved_body(body, memory)));
             *reply.headers_mut() = end_to_end(headers);
--- a/src/bin/sidecar/session.rs
+++ b/src/bin/sidecar/session.rs
@@ -2,7 +2,7 @@
 
 use crate::arrival_deadline::{FINAL_POLL_TIME, IDLE_TIMEOUT, Phase, arrival_deadline};
 use crate::client::{Client, MAX_HEAD_BYTES};
-use crate::client_connections::Place;
+use crate::client_connections::{Eviction, Place};
 use crate::client_socket::ClientSocket;
 use crate::closing::linger;
 use crate::engine_handle::EngineHandle;
@@ -48,7 +48,10 @@
         let refusal = tokio::select! {
             biased;
             // Before anything more is read: the choice holds for what had been read until then.
-            () = place.evicted() => None,
+            eviction = place.evicted() => match eviction {
+                Eviction::Refused(reason) => Some(reason),
+                Eviction::Unanswered => None,
+            },
             refusal = self.serve_requests(&client) => refusal,
         };
         if let Some(reason) = refusal {
@@ -58,7 +61,7 @@
         linger(client.stream(), place.evicted()).await;
     }
 
-    /// Answers a request of which not even the head was read completely.
+    /// Answers a request that was not read completely.
     fn refuse(&self, client: &Client, reason: Refusal) {
         self.handle.record_refusal(reason);
         // All earlier answers are written, so the socket takes it.
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -13,6 +13,7 @@
 mod extremes;
 mod handovers;
 mod idle;
+mod idle_crowds;
 mod leaving;
 mod list_forms;
 mod lists;
