Look at a connection's socket anew at each of its deadlines

Cause, by reading: before a connection is closed by a limit its socket is looked at up to three times, since the timers of a process that was suspended fire before the runtime has noticed what arrived. The count of these looks was kept for the whole life of the connection, so that after three of them a request that arrived in a later suspension would be closed over.

Change: the count begins anew once the deadline lies ahead again.

--- a/src/bin/sidecar/session.rs
+++ b/src/bin/sidecar/session.rs
@@ -181,7 +181,7 @@
     timer: Pin<&'a mut Sleep>,
     /// The runtime has time until then to notice what has arrived.
     not_before: Instant,
-    /// How often it was given that time since the deadline.
+    /// How often it was given that time since the latest deadline.
     final_polls: usize,
 }
 
@@ -193,6 +193,9 @@
             let Some(deadline) = deadline(client, phase) else {
                 return Poll::Pending;
             };
+            if deadline > Instant::now() {
+                self.final_polls = 0;
+            }
             let due = deadline.max(self.not_before);
             if self.timer.deadline() != due {
                 self.timer.as_mut().reset(due);
