Soak: requests in pieces, rested connections and crowds of idle clients

Change: a third of the requests of sound clients are written in two or three pieces, 20 to 150 ms apart; one in 25 comes after a rest of 1.7 to 2.2 s. A connection that is closed with no answer over 0.2 s after the first piece of a request is a break also where a close that crosses a request is none. An eighth crowd asks whether the sidecar is up, is idle, and comes again.

--- a/tests/soak/crowd.rs
+++ b/tests/soak/crowd.rs
@@ -4,7 +4,7 @@
 use crate::plan::Crowd;
 use crate::signals::Process;
 use crate::stubs::*;
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,6 +17,8 @@
 const WAVE: Duration = Duration::from_millis(600);
 /// Between two small writes or reads.
 const STEP: Duration = Duration::from_millis(2);
+/// What an idle client asks once.
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 /// Length of a large body.
 const LARGE: usize = 60_000;
 
@@ -36,6 +38,8 @@
         let size = match crowd {
             Crowd::Flood => 1,
             Crowd::Leave => size / 8,
+            // More than there are places.
+            Crowd::Idle => (descriptors as usize / 2).min(MAX_SIZE),
             _ => size,
         };
         let clients: Vec<_> = (0..size).map_while(|_| process.connect()).collect();
@@ -52,6 +56,7 @@
             Crowd::ReadSlowly => {
                 send_to_all(&clients, &request("look", "X-Large: 1\r\n", "").repeat(20))
             }
+            Crowd::Idle => be_idle(clients, process, stopped),
             Crowd::Flood => flood(clients),
             Crowd::Leave => leave(clients, wave, requests),
         }
@@ -93,6 +98,40 @@
     thread::sleep(WAVE);
 }
 
+/// Keeps the places taken: who was closed comes again.
+fn be_idle(clients: Vec<TcpStream>, process: &Process, stopped: &AtomicBool) {
+    let mut clients: Vec<_> = clients.into_iter().map(Some).collect();
+    for client in clients.iter().flatten() {
+        write_some(client, UP.as_bytes());
+    }
+    let began = Instant::now();
+    while began.elapsed() < WAVE && !stopped.load(Ordering::SeqCst) {
+        for place in &mut clients {
+            if place.as_ref().is_none_or(is_closed) {
+                *place = process.connect();
+                if let Some(client) = place {
+                    write_some(client, UP.as_bytes());
+                }
+            }
+        }
+        thread::sleep(STEP);
+    }
+}
+
+/// Whether the sidecar has closed the connection; discards its answers.
+fn is_closed(mut stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let closed = loop {
+        match stream.read(&mut [0; 1024]) {
+            Ok(0) => break true,
+            Ok(_) => {}
+            Err(e) => break e.kind() != ErrorKind::WouldBlock,
+        }
+    };
+    let _ = stream.set_nonblocking(false);
+    closed
+}
+
 fn flood(clients: Vec<TcpStream>) {
     let began = Instant::now();
     while began.elapsed() < WAVE {
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -14,6 +14,8 @@
     Stop,
     /// They send heads of many short fields.
     ManyFields,
+    /// They ask whether the sidecar is up, are idle then, and come again once they are closed.
+    Idle,
     /// They leave long answers unread.
     ReadSlowly,
     /// One sends at full speed.
@@ -22,7 +24,7 @@
     Leave,
 }
 
-const CROWDS: [Crowd; 7] = [
+const CROWDS: [Crowd; 8] = [
     Crowd::Absent,
     Crowd::WriteSlowly,
     Crowd::Stop,
@@ -30,6 +32,7 @@
     Crowd::ReadSlowly,
     Crowd::Flood,
     Crowd::Leave,
+    Crowd::Idle,
 ];
 
 /// A signal, sent after a pause.
@@ -67,16 +70,22 @@
         let mut rng = Rng::with_seed(seed);
         let signals = (0..rng.usize(2..5)).map(|_| (millis(&mut rng, 100..900), signal(&mut rng)));
         let signals = signals.collect();
+        // Each crowd comes up among any eight seeds.
+        let crowd = CROWDS[seed as usize % CROWDS.len()];
         Self {
             seed,
             memory_mb: [32, 32, 64, 192][rng.usize(0..4)],
-            descriptors: [256, 512, 1024][rng.usize(0..3)],
+            descriptors: match (crowd, rng.usize(0..3)) {
+                // So few that the crowd fills the places.
+                (Crowd::Idle, _) | (_, 0) => 256,
+                (_, 1) => 512,
+                _ => 1024,
+            },
             deadline: millis(&mut rng, 400..2000),
             endpoints: rng.usize(3..9),
             faults_per_mille: rng.u32(0..150),
             sound_clients: rng.usize(4..12),
-            // Each crowd comes up among any seven seeds.
-            crowd: CROWDS[seed as usize % CROWDS.len()],
+            crowd,
             signals,
         }
     }
--- a/tests/soak/sound_client.rs
+++ b/tests/soak/sound_client.rs
@@ -5,7 +5,7 @@
 use crate::stubs::*;
 use crate::verdict::Verdict;
 use fastrand::Rng;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -24,11 +24,23 @@
 /// Lengths of large bodies.
 const LARGE: std::ops::Range<usize> = 10_000..60_000;
 
+/// One of so many requests is written in pieces.
+const IN_PIECES_ONE_IN: usize = 3;
+/// Pauses between two pieces.
+const PIECE_PAUSES_MS: std::ops::Range<u64> = 20..150;
+/// One of so many requests comes on a connection that has rested so long, in milliseconds.
+const RESTED_ONE_IN: usize = 25;
+const RESTS_MS: std::ops::Range<u64> = 1700..2200;
+/// What has arrived is read within this time, of which the sidecar may be held up for 0.15 s.
+const READ_WITHIN: Duration = Duration::from_millis(200);
+
 /// How one try of a request ended.
 enum Try {
     Answered(Message),
     /// The connection was closed before any answer.
     Closed,
+    /// The same so long after the request's first piece that this had been read.
+    ClosedHalfRead,
     /// No answer came in time.
     Silent,
 }
@@ -56,11 +68,23 @@
             }
             let id = format!("c{}-{number}", self.number);
             connection = self.ask(&id, connection.take(), &mut verdict);
-            thread::sleep(Duration::from_millis(self.rng.u64(1..MAX_PAUSE_MS)));
+            let rests = self.rng.usize(0..RESTED_ONE_IN) == 0;
+            let pause = if rests { RESTS_MS } else { 1..MAX_PAUSE_MS };
+            thread::sleep(Duration::from_millis(self.rng.u64(pause)));
         }
         verdict
     }
 
+    /// The pauses between the pieces of a request, if it is written in pieces.
+    fn pauses_between_pieces(&mut self) -> Vec<Duration> {
+        if self.rng.usize(0..IN_PIECES_ONE_IN) > 0 {
+            return Vec::new();
+        }
+        let number = self.rng.usize(1..3);
+        let mut pause = || Duration::from_millis(self.rng.u64(PIECE_PAUSES_MS));
+        (0..number).map(|_| pause()).collect()
+    }
+
     /// Sends a request; returns the connection if it stays open.
     fn ask(
         &mut self,
@@ -85,9 +109,13 @@
         for tried in 0..MAX_TRIES {
             // Down or about to be: nobody has taken the request.
             let mut stream = next.take().or_else(|| self.process.connect())?;
-            let sent = Instant::now();
-            self.requests.note_sent(id, class, sent, left);
-            match try_once(&mut stream, &text, sent, left + LOST_AFTER) {
+            let pauses = self.pauses_between_pieces();
+            let note_sent = || {
+                let sent = Instant::now();
+                self.requests.note_sent(id, class, sent, left);
+                sent
+            };
+            match try_once(&mut stream, &text, &pauses, note_sent, left + LOST_AFTER) {
                 Try::Answered(answer) => {
                     note_answer(&answer, verdict);
                     return (answer.header("connection") != Some("close")).then_some(stream);
@@ -98,6 +126,12 @@
                 }
                 // A close that crosses a request on a kept connection lets its client send it again.
                 Try::Closed if (was_kept && tried == 0) || self.is_crowded => {}
+                Try::ClosedHalfRead => {
+                    verdict
+                        .lost
+                        .push(format!("{id} ({class}) closed half read"));
+                    return None;
+                }
                 Try::Closed => {
                     verdict
                         .lost
@@ -127,9 +161,32 @@
     }
 }
 
-fn try_once(stream: &mut TcpStream, text: &str, sent: Instant, limit: Duration) -> Try {
-    if stream.write_all(text.as_bytes()).is_err() {
-        return Try::Closed;
+/// Writes a request, in pieces with these pauses between them, and waits for its answer. Its time
+/// counts from its last piece.
+fn try_once(
+    stream: &mut TcpStream,
+    text: &str,
+    pauses: &[Duration],
+    note_sent: impl Fn() -> Instant,
+    limit: Duration,
+) -> Try {
+    let began = Instant::now();
+    // An endpoint may see it before the last piece is known to be written.
+    let mut sent = note_sent();
+    let length = text.len().div_ceil(pauses.len() + 1);
+    for (number, piece) in text.as_bytes().chunks(length).enumerate() {
+        if number > 0 {
+            match wait(stream, pauses[number - 1]) {
+                Pause::Over => {}
+                Pause::Answered => break,
+                Pause::Closed if began.elapsed() > READ_WITHIN => return Try::ClosedHalfRead,
+                Pause::Closed => return Try::Closed,
+            }
+            sent = note_sent();
+        }
+        if stream.write_all(piece).is_err() {
+            return Try::Closed;
+        }
     }
     match read_message_within(stream, limit) {
         Some(answer) if sent.elapsed() <= limit => Try::Answered(answer),
@@ -137,3 +194,37 @@
         _ => Try::Silent,
     }
 }
+
+/// How a pause between two pieces ended.
+enum Pause {
+    Over,
+    /// The sidecar has answered what it has read.
+    Answered,
+    Closed,
+}
+
+fn wait(stream: &TcpStream, pause: Duration) -> Pause {
+    let until = Instant::now() + pause;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Pause::Over;
+        }
+        stream
+            .set_read_timeout(Some(left))
+            .expect("a time-out can be set");
+        match stream.peek(&mut [0]) {
+            Ok(0) => return Pause::Closed,
+            Ok(_) => return Pause::Answered,
+            Err(e) if is_temporary(e.kind()) => {}
+            Err(_) => return Pause::Closed,
+        }
+    }
+}
+
+fn is_temporary(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+    )
+}
