Let attempts that are due report their end before their request ends

The engine gave up one turn before it fired its timers, and the wait for the answer none, while an attempt's end needs two turns; so the request ended first and the attempt was called back, which teaches its circuit nothing.

Change: turns.rs names how many turns either waits for whom.

--- a/src/bin/sidecar/engine.rs
+++ b/src/bin/sidecar/engine.rs
@@ -18,6 +18,7 @@
 use crate::repeat_guard::Admission;
 use crate::report::say;
 use crate::timers::Timers;
+use crate::turns::{FOR_ATTEMPTS, yield_turns};
 use crate::upstream::Upstream;
 use load_balancer::{Balancer, Event, ListUpdate, RequestId};
 pub use start::EngineParts;
@@ -25,7 +26,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// Shortest time between log lines about invalid input.
@@ -62,8 +62,8 @@
                     None => return,
                 },
                 // If the process was suspended, input that arrived before the timer was due may not
-                // have been noticed yet.
-                () = self.timers.wait() => yield_now().await,
+                // have been noticed yet, and attempts whose time is over as well have not ended.
+                () = self.timers.wait() => yield_turns(FOR_ATTEMPTS).await,
             }
             // Queued inputs go first; taking only those queued now keeps timers from starving.
             for _ in 0..self.inputs.len() {
--- a/src/bin/sidecar/main.rs
+++ b/src/bin/sidecar/main.rs
@@ -63,6 +63,7 @@
 #[cfg(feature = "product")]
 mod stored_form;
 mod timers;
+mod turns;
 mod unread;
 mod upstream;
 mod watch_schedule;
--- a/src/bin/sidecar/serving.rs
+++ b/src/bin/sidecar/serving.rs
@@ -12,6 +12,7 @@
 use crate::refusal::Refusal;
 use crate::request_headers::{RequestClasses, RequestHeaders};
 use crate::shutdown::ShutdownStage;
+use crate::turns::overdue_at;
 use crate::unread::{may_have_left, wait_until_left};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -27,7 +28,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 /// Time after a request's head in which its body must be complete: the application is on this
 /// machine.
@@ -195,7 +196,7 @@
         biased;
         answer = pending.answer() => Some(answer),
         () = wait_until_left(client, &outgoing) => return Err(Unanswered::ClientLeft),
-        () = sleep_until(handle.instant(deadline)) => None,
+        () = overdue_at(handle.instant(deadline)) => None,
         _ = shutdown.wait_for(|s| *s == ShutdownStage::Immediate) => None,
     };
     let answer = answer.unwrap_or_else(|| pending.fail());
--- a/tests/sidecar/handovers.rs
+++ b/tests/sidecar/handovers.rs
@@ -238,3 +238,35 @@
     let said = sidecar.stop_and_read_log();
     assert!(said.contains("circuit of endpoint 0 open"), "{said}");
 }
+
+// The same where the process is suspended until all its deadlines are over: the request used to end
+// before its attempt was seen to have timed out.
+#[test]
+fn the_circuit_of_an_endpoint_that_hangs_is_opened_although_the_process_was_suspended() {
+    const TIME_LEFT: Duration = Duration::from_millis(200);
+    let discovery = Discovery::start();
+    let endpoint = Endpoint::start(|_| Reply::Silence);
+    let mut sidecar = Sidecar::start_adapted(
+        &discovery,
+        &[("s-1", &endpoint)],
+        1024,
+        |config| config,
+        |command| {
+            command.stderr(std::process::Stdio::piped());
+        },
+    );
+    for number in 0..4 {
+        let text = request_of(&number.to_string(), "book", "{}").replace("19000m", "200m");
+        let mut client = sidecar.connect();
+        client
+            .write_all(text.as_bytes())
+            .expect("the sidecar takes it");
+        wait_until("it is sent on", || endpoint.requests() == number + 1);
+        sidecar.stop();
+        std::thread::sleep(TIME_LEFT + Duration::from_millis(50));
+        sidecar.signal("-CONT");
+        assert_eq!(read_message(&mut client).expect("an answer").status(), 502);
+    }
+    let said = sidecar.stop_and_read_log();
+    assert!(said.contains("circuit of endpoint 0 open"), "{said}");
+}
